--- a/coralrouter/balance.py
+++ b/arrowseam/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of coralrouter. Its interface (settings, events, actions) is ``coralrouter/api.py``.
+"""Every decision of arrowseam. Its interface (settings, events, actions) is ``arrowseam/api.py``.
 
 A new connection takes the head of a weighted random order of the ready backends (keys u^(1/weight),
 descending, drawn afresh for each connection) and falls back down that order when attempts fail. Weights
@@ -14,8 +14,8 @@
 from collections.abc import Callable
 from itertools import accumulate
 
-from coralrouter import api
-from coralrouter.api import BackendState, Effect, KeyScope, ListKind, Outcome
+from arrowseam import api
+from arrowseam.api import BackendState, Effect, KeyScope, ListKind, Outcome
 
 SECOND = 1_000_000
 
--- a/coralrouter/benchlink.py
+++ b/arrowseam/benchlink.py
@@ -1,4 +1,4 @@
-"""The decision module on the simulator's wire (``python -m coralrouter.benchlink``).
+"""The decision module on the simulator's wire (``python -m arrowseam.benchlink``).
 
 Codec and instance table only: every decision is in ``balance.py``. Reads batches of events on standard
 input, writes one reply a batch on standard output. A malformed frame or malformed settings end the process
@@ -15,8 +15,8 @@
 from functools import lru_cache
 from typing import Any, BinaryIO
 
-from coralrouter import api
-from coralrouter.balance import Balancer
+from arrowseam import api
+from arrowseam.balance import Balancer
 
 BATCH = struct.Struct(">IIIQ")
 REPLY = struct.Struct(">III")
--- a/coralrouter/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""coralrouter: the decisions of a balancer for long-lived connections."""
-
-from coralrouter.balance import Balancer
-
-__all__ = ["Balancer"]
-__version__ = "0.1.0"
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from coralrouter import Balancer, api
+from arrowseam import Balancer, api
 
 MS = 1_000
 SECOND = 1_000_000
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coralrouter import api, benchlink
+from arrowseam import api, benchlink
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
@@ -57,7 +57,7 @@
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
     return subprocess.run(
-        [sys.executable, "-m", "coralrouter.benchlink"], input=data, capture_output=True, cwd=ROOT, timeout=60
+        [sys.executable, "-m", "arrowseam.benchlink"], input=data, capture_output=True, cwd=ROOT, timeout=60
     )
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 import pytest
 from helpers import SECOND, START, Clock, ask, backends, ended, full, relay, sends, settings
 
-from coralrouter import Balancer, api
+from arrowseam import Balancer, api
 
 MESSAGES = (api.RequestClass(aim=300_000, deadline=2 * SECOND, message_aim=100_000),)
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -11,8 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coralrouter import api
-from coralrouter.balance import ONE, scaled, two_stage
+from arrowseam import api
+from arrowseam.balance import ONE, scaled, two_stage
 
 
 @pytest.mark.parametrize("odd", [math.nan, math.inf, -math.inf, -1.0])
--- a/tests/test_policy_file.py
+++ b/tests/test_policy_file.py
@@ -16,7 +16,7 @@
 
 
 def test_the_decisions_use_no_clock_no_io_and_no_shared_random_source() -> None:
-    tree = ast.parse((ROOT / "coralrouter" / "balance.py").read_text())
+    tree = ast.parse((ROOT / "arrowseam" / "balance.py").read_text())
     imported = set()
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
@@ -24,8 +24,8 @@
         elif isinstance(node, ast.ImportFrom):
             imported.add(node.module)
     allowed = {"__future__", "math", "random", "bisect", "itertools", "struct", "hashlib", "heapq"}
-    assert imported <= allowed | {"coralrouter", "coralrouter.api", "collections.abc"}
+    assert imported <= allowed | {"arrowseam", "arrowseam.api", "collections.abc"}
 
 
 def test_the_interface_is_named_at_the_top() -> None:
-    assert "coralrouter/api.py" in "".join((ROOT / "coralrouter" / "balance.py").read_text().splitlines()[0])
+    assert "arrowseam/api.py" in "".join((ROOT / "arrowseam" / "balance.py").read_text().splitlines()[0])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coralrouter import Balancer, api
+from arrowseam import Balancer, api
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
 FAILURES = [o for o in api.Outcome if o is not api.Outcome.OK]
