Serve the platform's protocol on real sockets round the module

The program: an epoll loop with generator coroutines, the facade in blocking style, the core, the lines front, the directory's client and the command line. No tests of the network code yet.

--- /dev/null
+++ b/arrowseam/facade.py
@@ -0,0 +1,406 @@
+"""The decision module in blocking style: ``pick``, ``report``, ``tick``.
+
+It owns the one ``Balancer`` of this process, the module's timers and the numbers by which the module knows
+invocations and servers. It alone outside the module and the simulator's adapter touches events and actions;
+what goes in and out here is plain values. It must never decide: neither where an invocation goes nor when it
+is answered. It knows no socket and no wire.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import math
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+from arrowseam import api
+from arrowseam.balance import Balancer
+from arrowseam.benchlink import WireError, _number, _rows, _table, _whole, parse_settings
+
+OUTCOMES = {
+    "ok": api.Outcome.OK,
+    "error": api.Outcome.ERROR,
+    "full": api.Outcome.FULL,
+    "timeout": api.Outcome.TIMEOUT,
+    "unreachable": api.Outcome.CONNECT_FAILED,
+    "reset": api.Outcome.RESET,
+    "moved": api.Outcome.CANCELLED,
+}
+KINDS = {
+    "changes": api.ListKind.CHANGES,
+    "full": api.ListKind.FULL,
+    "cached": api.ListKind.CACHED,
+    "failed": api.ListKind.FAILED,
+}
+STATES = {
+    "Ready": api.BackendState.READY,
+    "Terminating": api.BackendState.DRAINING,
+    "Gone": api.BackendState.GONE,
+}
+NOTE_GAP = 1_000_000  # between two notes of slow messages about one server
+
+
+class ConfigError(Exception):
+    """The configuration or a list is not what it must be; the message is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What a proxy is told at its start. ``settings`` is the module's own type; names are by position."""
+
+    name: str
+    listen: str
+    directory: str
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: api.Settings
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    classes: dict[str, int]
+    tenants: dict[str, int]
+
+    @property
+    def longest_deadline(self) -> int:
+        return max(c.deadline for c in self.settings.classes)
+
+
+def _names(rows: list[Any]) -> dict[str, int]:
+    return {str(r.get("name") if isinstance(r, dict) else r): n for n, r in enumerate(rows)}
+
+
+def read_config(text: bytes) -> Config:
+    try:
+        doc = json.loads(text)
+        if not isinstance(doc, dict):
+            raise WireError("configuration: not a JSON object")
+        raw = _table(doc, "settings")
+        settings = parse_settings(json.dumps(raw).encode())
+        limits = _table(doc, "limits")
+        texts = {key: doc.get(key, "") for key in ("name", "listen", "discovery", "seed")}
+        for key, value in texts.items():
+            if not isinstance(value, str):
+                raise WireError(f"configuration: {key} must be text")
+        try:
+            seed = int(texts["seed"] or "0", 16)
+        except ValueError:
+            raise WireError("configuration: seed must be a hexadecimal number") from None
+        return Config(
+            name=texts["name"],
+            listen=texts["listen"],
+            directory=texts["discovery"],
+            seed=seed,
+            sockets=_whole(limits, "sockets", 1024),
+            known=_table(doc, "known"),
+            settings=settings,
+            zones=_names(_rows(raw, "zones")),
+            kinds=_names(_rows(raw, "kinds")),
+            classes=_names(_rows(raw, "lanes")),
+            tenants=_names(_rows(raw, "tenants")),
+        )
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+    except (ValueError, OverflowError) as error:
+        raise ConfigError(f"configuration: not JSON ({error})") from None
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """An answer of the directory: its rows as the module takes them, and where each server is reached."""
+
+    kind: str
+    version: int
+    rows: tuple[api.Backend, ...]
+    addresses: dict[str, str]
+
+
+def read_listing(doc: Any, config: Config, numbers: dict[str, int], cached: bool = False) -> Listing:
+    """Decode a list in the directory's form; raises ConfigError where it is not in that form."""
+    try:
+        if not isinstance(doc, dict):
+            raise WireError("list: not a JSON object")
+        rows, addresses = [], {}
+        for row in _rows(doc, "instances"):
+            if not isinstance(row, dict) or not isinstance(row.get("instanceId"), str):
+                raise WireError("list: each instance must be an object with an instanceId")
+            state = STATES.get(str(row.get("lifecycle")))
+            if state is None:
+                raise WireError(f"list: unknown lifecycle {row.get('lifecycle')!r}")
+            name = row["instanceId"]
+            if isinstance(row.get("hostPort"), str):
+                addresses[name] = row["hostPort"]
+            rows.append(
+                api.Backend(
+                    backend=numbers.setdefault(name, len(numbers) + 1),
+                    zone=config.zones.get(str(row.get("zone")), len(config.zones)),
+                    weight=_number(row, "weight", 1.0),
+                    kind=config.kinds.get(str(row.get("machineType")), len(config.kinds)),
+                    started=_started(_number(row, "startedAtMs")),
+                    state=state,
+                    cell=_whole(row, "cell"),
+                )
+            )
+        kind = "cached" if cached else "full" if doc.get("reset") else "changes"
+        return Listing(kind, _whole(doc, "generation"), tuple(rows), addresses)
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+
+
+UNIX_OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+
+def _started(unix_ms: float) -> int:
+    """Unix milliseconds on the module's clock; the offset is taken once, so a start keeps its time."""
+    return max(1, int(unix_ms * 1000) - UNIX_OFFSET) if unix_ms > 0 else 0
+
+
+# --- what pick answers ------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    server: str
+    due: int  # when the caller stops waiting
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    retry_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The consumer is gone: nobody is owed an answer."""
+
+
+Answer: TypeAlias = Call | Rejection | Failure | Left
+
+
+@dataclass(slots=True)
+class Invocation:
+    """One invocation from its arrival to its end, with what the front knows of it."""
+
+    klass: int
+    tenant: int
+    key: int
+    due: int  # the final answer is owed by then
+    group: int = 0
+    load: float = 0.0
+    repeat: bool = False
+    returned: bool = False
+    server: str = ""  # where it runs already; empty for a new one
+    name: str = ""
+    left: Callable[[], bool] = bool
+    wake: Callable[[], None] = lambda: None
+    # the facade's own
+    number: int = 0
+    answers: deque[Answer] = field(default_factory=deque)
+    attempt: int = -1
+    backend: int = 0
+    called_at: int = 0
+    known: bool = False  # to the module
+    open: bool = False
+    move: bool = False  # the module wants its consumer to come again
+    call_off: bool = False
+    dismissed_ms: int = 0  # set: refuse it now, and say when to come again
+
+    def stop(self) -> bool:
+        """Whether the call under way is to be given up."""
+        return self.call_off or self.dismissed_ms > 0 or self.left()
+
+
+@dataclass(slots=True)
+class Turn:
+    """What the module wants done besides calls and answers."""
+
+    moves: list[Invocation] = field(default_factory=list)
+    watch: bool = False
+    fetch: bool = False
+    probes: list[str] = field(default_factory=list)
+    logs: list[str] = field(default_factory=list)
+    wake_at: int | None = None
+
+
+class Facade:
+    def __init__(self, config: Config, clock: Callable[[], int]) -> None:
+        self.settings = config.settings
+        self.config = config
+        self.clock = clock
+        self.balancer = Balancer(config.settings, seed=config.seed)
+        self.numbers: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.addresses: dict[str, str] = {}
+        self.ready = 0  # servers that the list held calls ready
+        self.states: dict[int, api.BackendState] = {}
+        self.invocations: dict[int, Invocation] = {}
+        self.count = 0
+        self.timers: list[tuple[int, int]] = []
+        self.next = Turn()
+        self.slow: dict[int, tuple[int, bool]] = {}  # server -> when last noted, whether still slow
+
+    # --- the module's side ---
+
+    def _feed(self, *events: api.Event) -> None:
+        now = self.clock()
+        for action in self.balancer.handle(max(now, self.balancer.now), list(events)):
+            match action:
+                case api.Send(number, backend, timeout):
+                    found = self.invocations.get(number)
+                    if found is not None:
+                        found.attempt += 1
+                        found.backend = backend
+                        due = min(now + timeout, found.due) if timeout > 0 else found.due
+                        self._answer(found, Call(self.names[backend], due))
+                case api.Refuse(number, retry_after):
+                    self._final(number, Rejection(-(-retry_after // 1000)))
+                case api.Fail(number):
+                    self._final(number, Failure())
+                case api.WakeAt(delay, token):
+                    heapq.heappush(self.timers, (now + max(1, delay), token))
+                case api.Move(number):
+                    found = self.invocations.get(number)
+                    if found is not None:
+                        self.next.moves.append(found)
+                case api.Cancel(number, attempt):
+                    found = self.invocations.get(number)
+                    if found is not None and found.attempt == attempt and not found.open:
+                        found.call_off = True
+                        found.wake()
+                case api.Probe(backend):
+                    self.next.probes.append(self.names[backend])
+                case api.Watch(enable):
+                    self.next.watch = enable
+                case api.Fetch():
+                    self.next.fetch = True
+                case api.Log(text):
+                    self.next.logs.append(text)
+                case api.CloseIdle() | api.Tell():
+                    pass  # no idle connections are kept, and proxies share nothing
+
+    def _answer(self, invocation: Invocation, answer: Answer) -> None:
+        invocation.answers.append(answer)
+        invocation.wake()
+
+    def _final(self, number: int, answer: Answer) -> None:
+        found = self.invocations.pop(number, None)
+        if found is not None:
+            found.known = False
+            self._answer(found, answer)
+
+    def _begin(self, invocation: Invocation) -> api.Request:
+        self.count += 1
+        invocation.number = self.count
+        invocation.known = True
+        self.invocations[self.count] = invocation
+        return api.Request(
+            request=self.count,
+            klass=invocation.klass,
+            tenant=invocation.tenant,
+            key=invocation.key,
+            time_left=max(0, invocation.due - self.clock()),
+            load=invocation.load,
+            group=invocation.group,
+            repeat=invocation.repeat,
+            returned=invocation.returned,
+        )
+
+    # --- the network's side ---
+
+    def pick(self, invocation: Invocation) -> Generator[int | None, None, Answer]:
+        """Block this coroutine until there is an answer for the invocation, or its consumer has left.
+
+        Past its due time the answer is a failure, whatever the module holds back.
+        """
+        if not invocation.number:
+            self._feed(self._begin(invocation))
+        while True:
+            if invocation.left():
+                # An attempt that the module has queued meanwhile is settled, never made.
+                self.gone(invocation)
+                return Left()
+            if invocation.dismissed_ms:
+                self.gone(invocation)
+                return Rejection(invocation.dismissed_ms)
+            if invocation.answers:
+                answer = invocation.answers.popleft()
+                if isinstance(answer, Call):
+                    invocation.called_at = self.clock()
+                return answer
+            if self.clock() >= invocation.due:
+                self.gone(invocation)
+                return Failure()
+            yield invocation.due
+
+    def adopt(self, invocation: Invocation) -> None:
+        """The connection runs at its server already."""
+        backend = self.numbers.get(invocation.server, 0)
+        request = self._begin(invocation)
+        invocation.attempt, invocation.backend, invocation.open = 0, backend, True
+        self._feed(api.Adopted(request, backend))
+
+    def report(self, invocation: Invocation, outcome: str) -> None:
+        """How the attempt under way ended, or 'up' that it stands, or how an open connection ended."""
+        if not invocation.known:
+            return
+        elapsed = self.clock() - invocation.called_at
+        number, attempt, backend = invocation.number, invocation.attempt, invocation.backend
+        if outcome == "up":
+            invocation.open = True
+            self._feed(api.Established(number, attempt, backend, elapsed))
+            return
+        final = invocation.open or outcome == "ok"
+        if final:
+            self.invocations.pop(number, None)
+            invocation.known = False
+        invocation.call_off = False
+        self._feed(api.AttemptEnded(number, attempt, backend, OUTCOMES[outcome], elapsed, final))
+
+    def gone(self, invocation: Invocation) -> None:
+        """The consumer has left, or was answered, before the module was done with it."""
+        if invocation.known:
+            self.invocations.pop(invocation.number, None)
+            invocation.known = False
+            invocation.answers.clear()
+            self._feed(api.ClientGone(invocation.number))
+
+    def load(self, invocation: Invocation, load: float) -> None:
+        if invocation.open and invocation.known and math.isfinite(load):
+            self._feed(api.LoadNote(invocation.number, invocation.attempt, invocation.backend, load))
+
+    def listing(self, listing: Listing | None) -> None:
+        """News from the directory; None for a call that failed."""
+        if listing is None:
+            self._feed(api.BackendList(api.ListKind.FAILED))
+            return
+        self.addresses.update(listing.addresses)
+        self.names.update({number: name for name, number in self.numbers.items()})
+        if listing.kind != "changes":
+            self.states.clear()
+        self.states.update({row.backend: row.state for row in listing.rows})
+        self.ready = sum(state is api.BackendState.READY for state in self.states.values())
+        self._feed(api.BackendList(KINDS[listing.kind], listing.version, listing.rows))
+
+    def probed(self, server: str, ok: bool, elapsed: int, values: dict[str, float]) -> None:
+        report = tuple(values.get(name, 0.0) for name in self.settings.report_fields) if values else ()
+        outcome = api.Outcome.OK if ok else api.Outcome.ERROR
+        self._feed(api.ProbeEnded(self.numbers[server], outcome, elapsed, report))
+
+    def tick(self, now: int) -> Turn:
+        """Run the timers that are due; what the module wants done, and when to come again."""
+        due = []
+        while self.timers and self.timers[0][0] <= now:
+            due.append(api.Timer(heapq.heappop(self.timers)[1]))
+        if due:
+            self._feed(*due)
+        turn, self.next = self.next, Turn()
+        turn.wake_at = self.timers[0][0] if self.timers else None
+        return turn
--- /dev/null
+++ b/arrowseam/net/__init__.py
@@ -0,0 +1,1 @@
+"""The network side of arrowseam."""
--- /dev/null
+++ b/arrowseam/net/directory.py
@@ -0,0 +1,127 @@
+"""The directory's client: the list and its watch, over HTTP/1.1.
+
+It owns the one connection to the directory, the version held, and when the next call is due. It must never
+act on a list itself, keep more than one call out, or let a bad answer replace the list held.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import h11
+
+from arrowseam.facade import Config, ConfigError, Facade, Listing, read_listing
+from arrowseam.net.loop import MS, SECOND, Address, Conn, Loop, Steps, Task, clock, log, parse_address
+
+# What a wait would have brought counts as told 2 s after its end: waits are short, so that a call that went
+# astray is noticed early, but not so short that empty answers load a service which all proxies share.
+WAIT = 4 * SECOND
+OVERTIME = 1500 * MS  # by so much later than the wait an answer may come
+CONNECT = SECOND
+ANSWER_MAX = 8 << 20
+
+
+class CallFailed(Exception):
+    """A call that brought no list: the message says why."""
+
+
+class Directory:
+    def __init__(self, loop: Loop, config: Config, facade: Facade) -> None:
+        self.loop, self.config, self.facade = loop, config, facade
+        self.version = 0
+        self.whole = True  # the next call asks for the whole list
+        self.asked = False
+        self.conn: Conn | None = None
+        self.http: h11.Connection | None = None
+        self.task: Task | None = None
+        if config.known:
+            try:
+                self._take(config.known, cached=True)
+                self.whole = False
+            except ConfigError as error:
+                log(f"directory: the list at the start is no list: {error}")
+
+    def ask(self, whole: bool) -> None:
+        """Begin to watch, or with ``whole`` ask for the whole list first; answers go to the facade."""
+        self.asked, self.whole = True, self.whole or whole
+        if self.task is None:
+            self.task = self.loop.spawn(self._run(parse_address(self.config.directory)), "directory")
+        self.loop.wake(self.task)
+
+    def _take(self, doc: Any, cached: bool = False) -> None:
+        listing: Listing = read_listing(doc, self.config, self.facade.numbers, cached)
+        self.version = listing.version
+        self.facade.listing(listing)
+
+    def _run(self, address: Address) -> Steps[None]:
+        while True:
+            while not self.asked:
+                yield None
+            try:
+                doc = yield from self._call(address)
+                try:
+                    self._take(json.loads(doc))
+                except (ValueError, ConfigError) as error:
+                    raise CallFailed(f"bad answer: {error}") from None
+                self.whole = False
+            except (CallFailed, h11.ProtocolError) as error:
+                # The list held stays in force; the module says when to ask again.
+                log(f"directory: call failed: {error}")
+                self._hang_up()
+                self.asked = False
+                self.facade.listing(None)
+
+    def _hang_up(self) -> None:
+        if self.conn is not None:
+            self.conn.close()
+        self.conn = self.http = None
+
+    def _call(self, address: Address) -> Steps[bytes]:
+        wait = 0 if self.whole else WAIT
+        target = "/api/targets"
+        if not self.whole:
+            target += f"?since={self.version}&timeout_ms={WAIT // MS}"
+        due = clock() + wait + OVERTIME + (0 if wait else 2 * SECOND)
+        if self.conn is None or self.conn.left:
+            self._hang_up()
+            self.conn = yield from self.loop.connect(address, min(due, clock() + CONNECT))
+            self.http = h11.Connection(h11.CLIENT)
+        conn, http = self.conn, self.http
+        if conn is None or http is None:
+            raise CallFailed("no connection")
+        head = h11.Request(method="GET", target=target, headers=[("Host", self.config.directory)])
+        data = (http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b"")
+        if not (yield from conn.send(data, due)):
+            raise CallFailed("the request could not be written")
+        status, body, size = 0, [], 0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                conn.fill()
+                if len(conn.inbox):
+                    http.receive_data(conn.inbox.take(len(conn.inbox)))
+                elif conn.eof:
+                    http.receive_data(b"")
+                elif clock() >= due:
+                    raise CallFailed("no answer in time")
+                else:
+                    yield due
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body.append(bytes(event.data))
+                size += len(event.data)
+                if size > ANSWER_MAX:
+                    raise CallFailed("the answer is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise CallFailed("the connection ended without an answer")
+        if status != 200:
+            raise CallFailed(f"status {status}")
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            http.start_next_cycle()
+        else:
+            self._hang_up()
+        return b"".join(body)
--- /dev/null
+++ b/arrowseam/net/lines.py
@@ -0,0 +1,269 @@
+"""The platform's front: lines of text from consumers, and the same lines to servers.
+
+It owns the wire of PROTOCOL: what a line says, how it goes on, what a server's answer means, where one line
+ends. It must never choose a server, answer twice, or change a line that is not its own (but for ``d``).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+from arrowseam.facade import Config, Facade, Invocation
+from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Loop, Passage, Steps, clock
+from arrowseam.relay import REJECT_MS, Relay
+
+LINE_MAX = 4096
+FIRST_LINE = 10 * SECOND  # a connection that says nothing for so long is closed
+# ``d`` counts from the client's sending: what the way here and back, and our own queue, may take of it.
+MARGIN = 15 * MS
+STANDING = 38 * SECOND  # for a connection that stood before, where it does not say
+
+
+class BadLine(ValueError):
+    """A first line that is not of the protocol's form."""
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A client's first line, taken apart far enough to place it and to send it on."""
+
+    head: bytes  # all before the list of names and values
+    pairs: tuple[tuple[bytes, bytes], ...]
+    name: str
+    key: int
+    values: dict[str, str]
+
+    def onward(self, wait_ms: int) -> bytes:
+        """The line for the server: ``d`` says how long the call will wait, the rest is as it came."""
+        parts = [k + b"=" + (b"%d" % wait_ms if k == b"d" else v) for k, v in self.pairs]
+        return self.head + b",".join(parts) + b"\r\n"
+
+
+def parse_open(line: bytes) -> Opening:
+    words = line.split(b" ")
+    if len(words) != 4 or words[0] != b"OPEN" or not words[1] or not line.isascii():
+        raise BadLine("not OPEN ID KEY VALUES")
+    pairs = []
+    for part in words[3].split(b","):
+        key, equals, value = part.partition(b"=")
+        if not key or not equals:
+            raise BadLine("values must be NAME=VALUE")
+        pairs.append((key, value))
+    values = {k.decode(): v.decode() for k, v in pairs}
+    if len(values) != len(pairs):
+        raise BadLine("a name stands twice")
+    if "c" not in values or not values.get("d", "").isdigit():
+        raise BadLine("c and d are needed")
+    return Opening(line[: -len(words[3])], tuple(pairs), words[1].decode(), _hex(words[2].decode()), values)
+
+
+def _hex(text: str) -> int:
+    try:
+        return int(text, 16) & 0xFFFFFFFFFFFFFFFF
+    except ValueError:
+        raise BadLine(f"not a hexadecimal number: {text!r}") from None
+
+
+def invocation_of(opening: Opening, config: Config, now: int) -> Invocation:
+    values = opening.values
+    klass, tenant = config.classes.get(values["c"]), config.tenants.get(values.get("t", ""), 0)
+    if klass is None or (values.get("t") and values["t"] not in config.tenants):
+        raise BadLine("unknown class or tenant")
+    try:
+        load = float(values.get("h", "0"))
+    except ValueError:
+        raise BadLine("h must be a number") from None
+    return Invocation(
+        klass=klass,
+        tenant=tenant,
+        key=opening.key,
+        due=now + max(0, int(values["d"]) * MS - MARGIN),
+        group=_hex(values.get("g") or "0"),
+        load=load,
+        repeat=values.get("r") == "1",
+        returned=values.get("again") == "1",
+        server=values.get("at", ""),
+        name=opening.name,
+    )
+
+
+def rejection_line(retry_ms: int) -> bytes:
+    return b"BUSY %d\r\n" % retry_ms if retry_ms > 0 else b"BUSY\r\n"
+
+
+# What a server's first line means, but for UP and LOAD; the rest is an error.
+ANSWERS = {b"BUSY": "full", b"ERR": "error", b"BYE": "ok", b"MOVE": "moved"}
+
+
+class LineConsumer:
+    """One consumer, and the call that is under way for it or the server that took it."""
+
+    def __init__(self, loop: Loop, conn: Conn, opening: Opening) -> None:
+        self.loop, self.conn, self.opening = loop, conn, opening
+        self.passage: Passage | None = None
+        self.told: list[float] = []
+        self.last = b""  # the last word of the server: BYE and MOVE say how it ends
+
+    def call(self, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        began = clock()
+        connect_due = min(due, began + self.connect_timeout)
+        server = yield from self.loop.connect(address, connect_due, stop)
+        if server is None:
+            return "off" if stop() else "timeout" if clock() >= due > connect_due else "unreachable"
+        end = "reset"
+        try:
+            end = yield from self._ask(server, due, stop)
+        finally:
+            if end != "up":
+                server.close()  # before anything else is tried for this invocation
+        return end
+
+    connect_timeout = 250 * MS
+
+    def _ask(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        wait_ms = max(1, (due - clock()) // MS)
+        if not (yield from server.send(self.opening.onward(wait_ms), due)):
+            # Its last byte was not written, so it has never run.
+            return "unreachable"
+        while True:
+            server.fill()
+            at = server.inbox.find(b"\n")
+            if at >= 0:
+                line = server.inbox.peek(at + 1)
+                word = line.split(None, 1)[0] if line.strip() else b""
+                if word == b"LOAD":
+                    self._load(line)
+                    server.inbox.drop(at + 1)
+                    continue
+                if word == b"UP":
+                    self.passage = Passage(self.conn, server, self._whole)
+                    return "up"
+                if word == b"BYE":
+                    # Served to its end at once: the consumer is told so in the server's own word.
+                    yield from self.conn.send(line, clock() + SECOND)
+                return ANSWERS.get(word, "error")
+            if server.eof:
+                return "reset"
+            if len(server.inbox) >= LINE_MAX:
+                return "error"
+            if stop():
+                return "off"
+            if clock() >= due:
+                return "timeout"
+            yield due
+
+    def _load(self, line: bytes) -> None:
+        with suppress(IndexError, ValueError):  # a line for the client may look like a report
+            self.told.append(float(line.split()[1]))
+
+    def _whole(self, inbox: Buffer, known: int) -> int:
+        """How many bytes at the head are whole lines; reads, once, what the server says on the way."""
+        whole = inbox.rfind(b"\n") + 1
+        if whole <= known:
+            return known
+        for line in inbox.peek(whole - known, known).split(b"\n")[:-1]:
+            self.last = line.split(None, 1)[0] if line.strip() else b""
+            if self.last == b"LOAD":
+                self._load(line)
+        return whole
+
+    def step(self) -> str | None:
+        assert self.passage is not None
+        end = self.passage.step()
+        if end is None:
+            return None
+        if end == "consumer":
+            return "left"
+        return {b"BYE": "ok", b"MOVE": "moved"}.get(self.last, "reset")
+
+    def mute_since(self) -> int | None:
+        return self.passage.asked_at if self.passage else None
+
+    def loads(self) -> list[float]:
+        told, self.told = self.told, []
+        return told
+
+    def farewell(self, due: int) -> Steps[None]:
+        if self.passage is not None:
+            yield from self.passage.farewell(b"MOVE\r\n", due)
+            self.passage.server.close()
+        yield from self.conn.part(due)
+
+    def finish(self, due: int) -> Steps[None]:
+        if self.passage is not None:
+            yield from self.passage.finish(due)
+        else:
+            yield from self.conn.part(due)
+
+    def close(self) -> None:
+        if self.passage is not None:
+            self.passage.server.close()
+        self.conn.close()
+
+    def _last_line(self, line: bytes) -> Steps[None]:
+        due = clock() + SECOND // 2
+        yield from self.conn.send(line, due)
+        yield from self.conn.part(due)
+
+    def reject(self, retry_ms: int) -> Steps[None]:
+        yield from self._last_line(rejection_line(retry_ms))
+
+    def fail(self) -> Steps[None]:
+        yield from self._last_line(b"ERR\r\n")
+
+
+class LineFront:
+    """Takes consumers off the listener and hands each to the core."""
+
+    def __init__(self, loop: Loop, config: Config, relay: Relay) -> None:
+        self.loop, self.config, self.relay = loop, config, relay
+        LineConsumer.connect_timeout = config.settings.limits.connect_timeout or 250 * MS
+
+    def serve(self, conn: Conn) -> Steps[None]:
+        if self.loop.scarce:
+            # Early and honest, while there are descriptors to do it with.
+            due = clock() + SECOND
+            yield from conn.send(rejection_line(REJECT_MS), due)
+            yield from conn.part(due)
+            return
+        while True:
+            line = yield from conn.line(LINE_MAX, clock() + FIRST_LINE)
+            if line == b"PING":
+                yield from conn.send(b"PONG\r\n", clock() + SECOND)
+                continue
+            if line is None and not len(conn.inbox):
+                return
+            break
+        try:
+            opening = parse_open(line or b"")
+            invocation = invocation_of(opening, self.config, clock())
+        except BadLine:
+            yield from conn.send(b"ERR\r\n", clock() + SECOND)
+            yield from conn.part(clock() + SECOND // 2)
+            return
+        consumer = LineConsumer(self.loop, conn, opening)
+        invocation.left = lambda: conn.left
+        yield from self.relay.serve(invocation, consumer)
+
+
+def probe(loop: Loop, facade: Facade, server: str, address: Address | None) -> Steps[None]:
+    """Ask one server how it is, in its own word, and tell the module."""
+    began = clock()
+    due = began + (facade.settings.limits.connect_timeout or 250 * MS)
+    conn = (yield from loop.connect(address, due)) if address else None
+    line = None
+    if conn is not None:
+        ask = b"STATS\r\n" if facade.settings.report_fields else b"PING\r\n"
+        if (yield from conn.send(ask, due)):
+            line = yield from conn.line(LINE_MAX, due)
+        conn.close()
+    values: dict[str, float] = {}
+    for part in (line or b"").decode("ascii", "replace").replace(",", " ").split()[1:]:
+        key, _, value = part.partition("=")
+        try:
+            values[key] = float(value)
+        except ValueError:
+            continue
+    facade.probed(server, (line or b"").startswith(b"PONG"), clock() - began, values)
--- /dev/null
+++ b/arrowseam/net/loop.py
@@ -0,0 +1,537 @@
+"""The event loop: epoll, timers, coroutines, connections, the listener, and the passage of bytes between two
+connections.
+
+It owns every file descriptor and the one clock (microseconds, monotonic). It must never know what the bytes
+mean, decide anything about an invocation, block, or let one coroutine's exception reach another.
+
+A coroutine is a generator that yields the time at which it wants to run again, or None. It is resumed then,
+or as soon as anything happens on a connection that it owns or somebody wakes it; it must look for itself at
+what has changed, so a wake-up too many does no harm.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import heapq
+import os
+import select
+import signal
+import socket
+import struct
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import TypeAlias, TypeVar
+
+Address: TypeAlias = tuple[str, int]
+T = TypeVar("T")
+Steps: TypeAlias = Generator[int | None, None, T]
+
+SECOND = 1_000_000
+MS = 1_000
+CHUNK = 4096  # room asked for before each read
+ROUNDS = 16  # reads for one connection before the others get their turn
+LINGER = SECOND // 2  # how long an ended connection may take to hear of it
+WATCHED = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
+
+
+def clock() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def log(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+def parse_address(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not host or not colon or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"not HOST:PORT: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+class Buffer:
+    """The bytes read from one connection and not yet passed on: grows as needed, compacted in place."""
+
+    __slots__ = ("data", "end", "limit", "start")
+
+    def __init__(self, limit: int) -> None:
+        self.data = bytearray(512)
+        self.start = self.end = 0
+        self.limit = limit
+
+    def __len__(self) -> int:
+        return self.end - self.start
+
+    @property
+    def full(self) -> bool:
+        return len(self) >= self.limit
+
+    def room(self) -> memoryview:
+        """Where the next read may go; at least one byte unless the buffer is full."""
+        if self.start == self.end:
+            self.start = self.end = 0
+        want = min(CHUNK, self.limit - len(self))
+        if len(self.data) - self.end < want:
+            if self.start:
+                size = len(self)
+                self.data[:size] = self.data[self.start : self.end]
+                self.start, self.end = 0, size
+            if len(self.data) - self.end < want:
+                self.data.extend(bytes(min(self.limit, max(2 * len(self.data), self.end + want)) - self.end))
+        return memoryview(self.data)[self.end : self.end + want]
+
+    def find(self, what: bytes, skip: int = 0) -> int:
+        at = self.data.find(what, self.start + skip, self.end)
+        return at if at < 0 else at - self.start
+
+    def rfind(self, what: bytes) -> int:
+        at = self.data.rfind(what, self.start, self.end)
+        return at if at < 0 else at - self.start
+
+    def peek(self, size: int, skip: int = 0) -> bytes:
+        at = self.start + skip
+        return bytes(self.data[at : min(self.end, at + size)])
+
+    def take(self, size: int) -> bytes:
+        data = self.peek(size)
+        self.drop(len(data))
+        return data
+
+    def drop(self, size: int) -> None:
+        self.start += size
+
+
+class Conn:
+    """A socket, what has been read from it, and what epoll has said of it."""
+
+    __slots__ = (
+        "broken",
+        "closed",
+        "eof",
+        "fd",
+        "hung",
+        "inbox",
+        "loop",
+        "owner",
+        "readable",
+        "sock",
+        "writable",
+    )
+
+    def __init__(
+        self, loop: Loop, sock: socket.socket, owner: Task | None = None, limit: int = 16384
+    ) -> None:
+        sock.setblocking(False)
+        self.loop, self.sock, self.owner = loop, sock, owner
+        self.fd = sock.fileno()
+        self.inbox = Buffer(limit)
+        self.readable = self.writable = False
+        self.eof = self.broken = self.hung = self.closed = False
+        loop.watch(self)
+
+    def fill(self) -> bool:
+        """Read what has come, up to the buffer's limit; whether anything came."""
+        size = len(self.inbox)
+        while self.readable and not self.eof and not self.broken and not self.inbox.full:
+            view = self.inbox.room()
+            try:
+                count = self.sock.recv_into(view)
+            except (BlockingIOError, InterruptedError):
+                self.readable = False
+                break
+            except OSError:
+                self.broken = self.eof = True
+                break
+            finally:
+                view.release()
+            if count == 0:
+                self.eof = True
+            self.inbox.end += count
+        return len(self.inbox) > size
+
+    def push(self, data: bytes | memoryview) -> int:
+        """Write what the socket takes now. A break shows as ``broken``; what came before stays readable."""
+        if self.broken or self.closed or not self.writable:
+            return 0
+        try:
+            return self.sock.send(data, socket.MSG_NOSIGNAL)
+        except (BlockingIOError, InterruptedError):
+            self.writable = False
+        except OSError:
+            self.broken = True
+            self.fill_last()
+        return 0
+
+    def fill_last(self) -> None:
+        """After a failed write: read what the peer said before it went."""
+        self.broken, self.readable = False, True
+        self.fill()
+        self.broken = self.eof = True
+
+    def send(self, data: bytes, due: int) -> Steps[bool]:
+        """Write all of it by ``due``; whether its last byte was written."""
+        at = 0
+        while not self.broken and not self.closed:
+            at += self.push(memoryview(data)[at:])
+            if at == len(data):
+                return True
+            if clock() >= due:
+                break
+            if not self.writable:
+                yield due
+        return False
+
+    def line(self, limit: int, due: int) -> Steps[bytes | None]:
+        """The next line without its end; None at the end of the stream, ``due``, or past ``limit``."""
+        while True:
+            self.fill()
+            at = self.inbox.find(b"\n")
+            if 0 <= at < limit:
+                return self.inbox.take(at + 1).rstrip(b"\r\n")
+            if at >= limit or len(self.inbox) >= limit or self.eof or clock() >= due:
+                return None
+            yield due
+
+    @property
+    def left(self) -> bool:
+        """Whether the peer has ended its side, as far as is known."""
+        self.fill()
+        return self.eof or self.hung or self.closed
+
+    def end(self) -> None:
+        """End our sending; the peer may still be heard."""
+        if not self.closed:
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.broken = True
+
+    def close(self, reset: bool = False) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if reset:
+            # Passed on as it came: a reset on one side is a reset on the other.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.loop.forget(self)
+        self.sock.close()
+
+    def part(self, due: int) -> Steps[None]:
+        """Close without a reset that would overtake our last line: end, hear the peer out, close."""
+        if not self.broken:
+            self.end()
+        while not self.eof and not self.broken and clock() < due:
+            self.inbox.drop(len(self.inbox))
+            if not self.fill() and not self.eof and not self.broken:
+                yield due
+        self.close()
+
+
+class Task:
+    """A coroutine as the loop runs it."""
+
+    __slots__ = ("due", "gen", "name", "queued")
+
+    def __init__(self, gen: Steps[None], name: str) -> None:
+        self.gen, self.name = gen, name
+        self.due: int | None = None
+        self.queued = False
+
+
+class Loop:
+    """Runs the coroutines. ``turn`` is called once a round with the time and says when it wants to be called
+    next."""
+
+    def __init__(self, sockets: int = 1 << 20) -> None:
+        self.epoll = select.epoll()
+        self.conns: dict[int, Conn | Task] = {}
+        self.stale: set[int] = set()
+        self.ready: deque[Task] = deque()
+        self.timers: list[tuple[int, int, Task]] = []
+        self.count = 0
+        self.sockets = sockets
+        self.current: Task | None = None
+        self.turn: Callable[[int], int | None] = lambda now: None
+        self.stopped = False
+        # Held so that a taken connection can be answered even when no descriptor is left.
+        self.spare = os.open("/dev/null", os.O_RDONLY)
+
+    # --- descriptors ---
+
+    def watch(self, conn: Conn) -> None:
+        self.conns[conn.fd] = conn
+        self.epoll.register(conn.fd, WATCHED)
+
+    def forget(self, conn: Conn) -> None:
+        """Guards against stale events: the rest of this round's events for the number mean the old socket."""
+        self.conns.pop(conn.fd, None)
+        self.stale.add(conn.fd)
+        with contextlib.suppress(OSError):
+            self.epoll.unregister(conn.fd)
+
+    @property
+    def scarce(self) -> bool:
+        """Whether so few descriptors are left that new connections are better turned away at once.
+
+        A placed connection takes two; the rest is for the directory, the log and calls under way.
+        """
+        return len(self.conns) + 24 + self.sockets // 32 >= self.sockets
+
+    def dial(self, address: Address, limit: int = 16384) -> Conn | None:
+        """Begin to connect for the running coroutine; None if that fails at once."""
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:
+            return None
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.connect_ex(address) not in (0, errno.EINPROGRESS):
+            sock.close()
+            return None
+        return Conn(self, sock, self.current, limit)
+
+    def connect(self, address: Address, due: int, stop: Callable[[], bool] = bool) -> Steps[Conn | None]:
+        """Connect by ``due`` or until ``stop`` says so; None if it did not come up."""
+        conn = self.dial(address)
+        if conn is None:
+            return None
+        while not conn.writable:
+            if clock() >= due or stop():
+                conn.close()
+                return None
+            yield due
+        if conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            conn.close()
+            return None
+        return conn
+
+    def listen(self, address: Address, name: str, serve: Callable[[Conn], Steps[None]]) -> Listener:
+        return Listener(self, address, name, serve)
+
+    # --- coroutines ---
+
+    def spawn(self, gen: Steps[None], name: str) -> Task:
+        task = Task(gen, name)
+        self.wake(task)
+        return task
+
+    def wake(self, task: Task | None) -> None:
+        if task is not None and not task.queued:
+            task.queued = True
+            self.ready.append(task)
+
+    def resume(self, task: Task) -> None:
+        task.queued, task.due = False, None
+        self.current = task
+        try:
+            due = next(task.gen)
+        except StopIteration:
+            return
+        except Exception:
+            # One coroutine's fault ends what it served and nothing else.
+            log(f"{task.name}: " + " | ".join(traceback.format_exc().strip().splitlines()[-3:]))
+            return
+        finally:
+            self.current = None
+        if due is not None:
+            task.due = due
+            self.count += 1
+            heapq.heappush(self.timers, (due, self.count, task))
+
+    def on_signal(self, number: int, act: Callable[[], None]) -> None:
+        """Call ``act`` from the loop after a signal. The pipe ends the wait that the signal interrupts."""
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        signal.set_wakeup_fd(theirs.fileno())
+        signal.signal(number, lambda *_: None)
+
+        def wait() -> Steps[None]:
+            conn = Conn(self, ours, self.current)
+            while True:
+                conn.fill()
+                if len(conn.inbox):
+                    conn.inbox.drop(len(conn.inbox))
+                    act()
+                _ = theirs  # kept open as long as this runs
+                yield None
+
+        self.spawn(wait(), "signal")
+
+    def run(self) -> None:
+        due: int | None = None
+        while not self.stopped:
+            while self.timers and self.timers[0][2].due != self.timers[0][0]:
+                heapq.heappop(self.timers)
+            if self.timers and (due is None or self.timers[0][0] < due):
+                due = self.timers[0][0]
+            wait = -1.0 if due is None else max(0.0, (due - clock()) / SECOND)
+            self.stale.clear()
+            for fd, what in self.epoll.poll(0 if self.ready else wait, 256):
+                found = None if fd in self.stale else self.conns.get(fd)
+                if isinstance(found, Conn):
+                    if what & select.EPOLLOUT or what & (select.EPOLLERR | select.EPOLLHUP):
+                        found.writable = True
+                    if what & ~select.EPOLLOUT:
+                        found.readable = True
+                    if what & (select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR):
+                        found.hung = True
+                    self.wake(found.owner)
+                else:
+                    self.wake(found)
+            now = clock()
+            while self.timers and self.timers[0][0] <= now:
+                at, _, task = heapq.heappop(self.timers)
+                if task.due == at:
+                    self.wake(task)
+            for _ in range(len(self.ready)):
+                self.resume(self.ready.popleft())
+            due = self.turn(clock())
+
+
+class Listener:
+    """Accepts until the backlog is empty: what is in it counts as taken."""
+
+    def __init__(self, loop: Loop, address: Address, name: str, serve: Callable[[Conn], Steps[None]]) -> None:
+        self.loop, self.name, self.serve = loop, name, serve
+        self.sock = socket.socket(
+            socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM
+        )
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(1024)
+        self.sock.setblocking(False)
+        self.address: Address = self.sock.getsockname()[:2]
+        task = loop.spawn(self._run(), f"{name} listener")
+        loop.conns[self.sock.fileno()] = task
+        loop.epoll.register(self.sock.fileno(), select.EPOLLIN)
+
+    def _run(self) -> Steps[None]:
+        while True:
+            self.accept()
+            yield None
+
+    def accept(self) -> None:
+        while self.sock.fileno() >= 0:
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                if error.errno not in (errno.EMFILE, errno.ENFILE) or self.loop.spare < 0:
+                    log(f"{self.name} listener: {error}")
+                    return
+                # The spare descriptor makes room to answer this one; it is taken back when there is room.
+                os.close(self.loop.spare)
+                self.loop.spare = -1
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = self.loop.spawn(iter(()), self.name)  # type: ignore[arg-type]
+            conn = Conn(self.loop, sock, task)
+            conn.writable = conn.readable = True
+            task.gen = self._one(conn)
+
+    def _one(self, conn: Conn) -> Steps[None]:
+        try:
+            yield from self.serve(conn)
+        finally:
+            conn.close()
+            if self.loop.spare < 0:
+                self.loop.spare = os.open("/dev/null", os.O_RDONLY)
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.accept()
+            self.loop.conns.pop(self.sock.fileno(), None)
+            self.loop.epoll.unregister(self.sock.fileno())
+            self.sock.close()
+
+
+class Passage:
+    """Bytes both ways between a consumer and the server that took it, from the moment it is established.
+
+    Towards the consumer only whole messages go, as ``whole`` measures them, so a farewell always fits between
+    two of them. Each side's buffer is bounded: a side that does not read is not read for.
+    """
+
+    def __init__(self, consumer: Conn, server: Conn, whole: Callable[[Buffer, int], int]) -> None:
+        self.consumer, self.server = consumer, server
+        self.whole = whole  # (buffer, bytes known to be whole) -> bytes that are whole messages
+        self.due = 0  # bytes at the head of the server's buffer that are whole messages
+        self.asked_at: int | None = None  # first bytes sent to the server since it last brought any
+        self.echo: int | None = None  # how long the server took to bring something, when it last did
+        self.ended: str | None = None  # the side that ended it
+
+    def _forward(self, source: Conn, target: Conn, size: int) -> int:
+        view = memoryview(source.inbox.data)[source.inbox.start : source.inbox.start + size]
+        try:
+            count = target.push(view)
+        finally:
+            view.release()
+        source.inbox.drop(count)
+        return count
+
+    def step(self) -> str | None:
+        """Pass on what there is; 'consumer' or 'server' when that side has ended and all is passed on."""
+        consumer, server = self.consumer, self.server
+        for _ in range(ROUNDS):
+            came = consumer.fill()
+            if len(consumer.inbox) and self._forward(consumer, server, len(consumer.inbox)):
+                came = True
+                if self.asked_at is None:
+                    self.asked_at = clock()
+            if server.fill():
+                came = True
+                if self.asked_at is not None:
+                    self.echo = clock() - self.asked_at
+                self.asked_at = None
+            self.due = self.whole(server.inbox, self.due)
+            if server.eof:
+                self.due = len(server.inbox)
+            elif self.due == 0 and server.inbox.full:
+                self.due = len(server.inbox)  # longer than any message may be: pass it on as it is
+            if self.due:
+                count = self._forward(server, consumer, self.due)
+                self.due -= count
+                came = came or count > 0
+            if consumer.broken or (consumer.eof and (not len(consumer.inbox) or server.broken)):
+                self.ended = self.ended or "consumer"
+            elif server.eof and not len(server.inbox):
+                self.ended = self.ended or "server"
+            if self.ended or not came:
+                return self.ended
+        consumer.loop.wake(consumer.owner)
+        return None
+
+    def farewell(self, text: bytes, due: int) -> Steps[bool]:
+        """Pass on the whole messages that are there, then our own last one; whether all of it went."""
+        while self.due and clock() < due and not self.consumer.broken:
+            self.due -= self._forward(self.server, self.consumer, self.due)
+            if self.due and not self.consumer.writable:
+                yield due
+        return not self.due and (yield from self.consumer.send(text, due))
+
+    def finish(self, due: int) -> Steps[None]:
+        """End both sides alike: a reset for a reset, an end for an end, which is heard out for a moment."""
+        first, other = (
+            (self.server, self.consumer) if self.ended == "server" else (self.consumer, self.server)
+        )
+        if first.broken:
+            first.close()
+            other.close(reset=True)
+            return
+        if self.ended == "consumer":
+            # It may have ended only its sending: what the server still says belongs to it.
+            other.end()
+            while not self.server.eof and not self.consumer.broken and clock() < due:
+                self.step()
+                if not self.server.eof and not self.consumer.broken:
+                    yield due
+            self.step()
+        self.server.close()
+        yield from self.consumer.part(due)
--- /dev/null
+++ b/arrowseam/relay.py
@@ -0,0 +1,224 @@
+"""The core: an invocation's life from its arrival to its end.
+
+It owns the order of things: pick, call, report, next; one final answer; the old call closed before the next
+opens; moves, and the drain at the end of the process. It must never know a wire (a front hands it a
+``Consumer`` that does), decide where an invocation goes, or have two calls out for one invocation.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from arrowseam.facade import Call, Config, Facade, Invocation, Left, Rejection
+from arrowseam.net.loop import MS, SECOND, Address, Loop, Steps, clock, log, parse_address
+
+MUTE = (
+    5 * SECOND // 2
+)  # a server that brings nothing back for so long though lines were sent is taken for lost
+AGAIN = 200 * MS  # between two tries to reach the server of a standing connection
+REJECT_MS = 500  # when to come back, where it is not the module that refuses
+DRAIN_START = 450 * MS  # after the signal the front still sends new consumers for a while
+DRAIN_CAP = 3 * SECOND  # a longer deadline counts as this
+DRAIN_EXTRA = 700 * MS  # from the deadline to the end of the process
+DRAIN_SPARE = 1100 * MS  # by so much earlier the last consumer has been told
+
+
+class Consumer(Protocol):
+    """One consumer as its front sees it, with the call that is under way for it."""
+
+    def call(self, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        """Make one invoker call; 'up', or how it ended, and then it is closed."""
+
+    def step(self) -> str | None:
+        """Pass on what there is. How the connection ended ('ok', 'moved', 'reset', 'left'), or None."""
+
+    def mute_since(self) -> int | None:
+        """When something was first sent to the server that it has not answered in any way."""
+
+    def loads(self) -> list[float]:
+        """Loads told by the server since the last call."""
+
+    def farewell(self, due: int) -> Steps[None]:
+        """Ask the consumer to come again, between two messages."""
+
+    def finish(self, due: int) -> Steps[None]:
+        """End both sides alike."""
+
+    def close(self) -> None:
+        """Nothing of it may stay open."""
+
+    def reject(self, retry_ms: int) -> Steps[None]:
+        """Final answer: refused, trying again is harmless."""
+
+    def fail(self) -> Steps[None]:
+        """Final answer: failed."""
+
+
+class Relay:
+    def __init__(self, loop: Loop, config: Config, facade: Facade) -> None:
+        self.loop, self.config, self.facade = loop, config, facade
+        self.ask: Callable[[bool], None] = lambda whole: None
+        self.probe: Callable[[str], object] = lambda server: None
+        self.live: dict[int, Invocation] = {}  # every invocation that is not over
+        self.count = 0
+        self.draining = False
+        self.random = random.Random(config.seed)
+        self.listeners: list[Callable[[], None]] = []  # closed when the drain is over
+        self.quiet = 0
+        loop.turn = self.turn
+
+    def turn(self, now: int) -> int | None:
+        """Once a round of the loop: run the module's timers and do what it asks for."""
+        turn = self.facade.tick(now)
+        for text in turn.logs:
+            log(f"module: {text}")
+        if turn.watch or turn.fetch:
+            self.ask(turn.fetch)
+        for server in turn.probes:
+            self.probe(server)
+        for invocation in turn.moves:
+            invocation.move = True
+            invocation.wake()
+        return turn.wake_at
+
+    # --- one invocation ---
+
+    def serve(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
+        self.count += 1
+        number = self.count
+        self.live[number] = invocation
+        task = self.loop.current
+        invocation.wake = lambda: self.loop.wake(task)
+        try:
+            yield from self._place(invocation, consumer)
+        except Exception:
+            # A fault here must not leave the module holding what is gone, nor a consumer without its answer.
+            self.facade.gone(invocation)
+            if not invocation.open:
+                yield from consumer.fail()
+            raise
+        finally:
+            consumer.close()
+            self.facade.gone(invocation)
+            del self.live[number]
+
+    def _place(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
+        if invocation.server:
+            if (yield from self._resume(invocation, consumer)):
+                yield from self._hold(invocation, consumer)
+            return
+        while True:
+            answer = yield from self.facade.pick(invocation)
+            if isinstance(answer, Call):
+                address = self.address(answer.server)
+                if address is None:
+                    end = "unreachable"
+                else:
+                    end = yield from consumer.call(address, answer.due, invocation.stop)
+                if end == "up":
+                    self.facade.report(invocation, "up")
+                    yield from self._hold(invocation, consumer)
+                    return
+                if end == "ok":
+                    self.facade.report(invocation, "ok")
+                    yield from consumer.finish(clock() + SECOND)
+                    return
+                if end == "off":  # called off, or the consumer has left, which pick sees
+                    end = "moved"
+                self.facade.report(invocation, end)
+            elif isinstance(answer, Left):
+                return
+            elif isinstance(answer, Rejection):
+                yield from consumer.reject(answer.retry_ms)
+                return
+            else:
+                yield from consumer.fail()
+                return
+
+    def _resume(self, invocation: Invocation, consumer: Consumer) -> Steps[bool]:
+        """A connection that stood before this process did: its own server or none, until time is up."""
+        while not invocation.left():
+            address = self.address(invocation.server)
+            if address is not None:
+                end = yield from consumer.call(address, invocation.due, invocation.left)
+                if end == "up":
+                    self.facade.adopt(invocation)
+                    return True
+                log(f"standing connection {invocation.name} at {invocation.server}: {end}")
+            if clock() + AGAIN >= invocation.due:
+                yield from consumer.fail()
+                return False
+            again = clock() + AGAIN
+            while clock() < again and not invocation.left():
+                yield again
+        return False
+
+    def _hold(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
+        """From the moment it stands to its end."""
+        while True:
+            end = consumer.step()
+            for load in consumer.loads():
+                self.facade.load(invocation, load)
+            if end is not None:
+                self.facade.report(invocation, "moved" if end == "left" else end)
+                yield from consumer.finish(clock() + SECOND)
+                return
+            mute = consumer.mute_since()
+            if mute is not None and clock() >= mute + MUTE:
+                # Nothing was said and nothing comes: guards against a machine that has vanished silently.
+                log(f"mute: {invocation.name} moved off a server that brings nothing back")
+                self.facade.report(invocation, "reset")
+                yield from consumer.farewell(clock() + SECOND)
+                return
+            if invocation.move:
+                yield from consumer.farewell(clock() + SECOND)
+                self.facade.report(invocation, "moved")
+                return
+            yield None if mute is None else mute + MUTE
+
+    def address(self, server: str) -> Address | None:
+        text = self.facade.addresses.get(server)
+        try:
+            return parse_address(text) if text else None
+        except ValueError:
+            return None
+
+    # --- the end of the process ---
+
+    def drain(self) -> None:
+        if not self.draining:
+            self.draining = True
+            log(f"draining: {len(self.live)} invocations")
+            self.loop.spawn(self._drain(clock()), "drain")
+
+    def _drain(self, began: int) -> Steps[None]:
+        """Go on serving while consumers come; move those that stand, spread over the time there is."""
+        last = began + min(self.config.longest_deadline, DRAIN_CAP) + DRAIN_EXTRA - DRAIN_SPARE
+        start = began + DRAIN_START
+        while clock() < start:
+            yield start
+        while self.live or clock() < start + 150 * MS:
+            now = clock()
+            standing = [i for i in self.live.values() if i.open and not i.move]
+            # What is left, over what is left of the time; all that remains at the last moment.
+            left = max(1, (last - now) // (50 * MS))
+            count = len(standing) if now >= last else -(-len(standing) // left)
+            for invocation in self.random.sample(standing, count):
+                invocation.move = True
+                invocation.wake()
+            if now >= last:
+                for invocation in self.live.values():
+                    if not invocation.open:
+                        invocation.dismissed_ms = REJECT_MS
+                        invocation.wake()
+            pause = now + 50 * MS
+            while clock() < pause:
+                yield pause
+        for close in self.listeners:
+            close()
+        while self.live:
+            yield clock() + 20 * MS
+        log("drained")
+        self.loop.stopped = True
