--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -59,11 +59,13 @@
 
 @main.command()
 @config_option
-def serve(path: str) -> None:
+@click.option("--trace", is_flag=True, help="Log every call and every end.")
+def serve(path: str, trace: bool) -> None:
     """Run one proxy until SIGTERM."""
     config = load(path)
     loop = Loop(config.sockets)
     relay = wire(loop, config)
+    relay.trace = trace
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.on_signal(number, relay.drain)
     log(f"arrowseam {__version__}: {config.name or os.getpid()} listens on {config.listen}")
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from arrowseam.facade import Config, Facade, Invocation
-from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Loop, Passage, Steps, clock
+from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Framer, Loop, Passage, Steps, clock
 from arrowseam.relay import REJECT_MS, Relay
 
 LINE_MAX = 4096
@@ -97,16 +97,41 @@
 ANSWERS = {b"BUSY": "full", b"ERR": "error", b"BYE": "ok", b"MOVE": "moved"}
 
 
+class ServerLines(Framer):
+    """Whole lines from a server, each read once for what it tells us."""
+
+    def __init__(self) -> None:
+        self.loads: list[float] = []
+        self.last = b""  # the server's last word: BYE and MOVE say how it ends
+
+    def note(self, line: bytes) -> None:
+        self.last = line.split(None, 1)[0] if line.strip() else b""
+        if self.last == b"LOAD":
+            with suppress(IndexError, ValueError):  # a line for the client may look like a report
+                self.loads.append(float(line.split()[1]))
+
+    def release(self, inbox: Buffer, known: int) -> int:
+        whole = inbox.rfind(b"\n") + 1
+        if whole > known:
+            for line in inbox.peek(whole - known, known).split(b"\n")[:-1]:
+                self.note(line)
+            self.mid = False
+            return whole
+        if inbox.full:  # longer than a line may be: it goes on as it is
+            self.mid = True
+            return len(inbox)
+        return known
+
+
 class LineConsumer:
     """One consumer, and the call that is under way for it or the server that took it."""
 
     def __init__(self, loop: Loop, conn: Conn, opening: Opening) -> None:
         self.loop, self.conn, self.opening = loop, conn, opening
         self.passage: Passage | None = None
-        self.told: list[float] = []
-        self.last = b""  # the last word of the server: BYE and MOVE say how it ends
+        self.said = ServerLines()
 
-    def call(self, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
+    def call(self, server_name: str, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
         began = clock()
         connect_due = min(due, began + self.connect_timeout)
         server = yield from self.loop.connect(address, connect_due, stop)
@@ -134,11 +159,11 @@
                 line = server.inbox.peek(at + 1)
                 word = line.split(None, 1)[0] if line.strip() else b""
                 if word == b"LOAD":
-                    self._load(line)
+                    self.said.note(line)
                     server.inbox.drop(at + 1)
                     continue
                 if word == b"UP":
-                    self.passage = Passage(self.conn, server, self._whole)
+                    self.passage = Passage(self.conn, server, Framer(), self.said)
                     return "up"
                 if word == b"BYE":
                     # Served to its end at once: the consumer is told so in the server's own word.
@@ -154,21 +179,6 @@
                 return "timeout"
             yield due
 
-    def _load(self, line: bytes) -> None:
-        with suppress(IndexError, ValueError):  # a line for the client may look like a report
-            self.told.append(float(line.split()[1]))
-
-    def _whole(self, inbox: Buffer, known: int) -> int:
-        """How many bytes at the head are whole lines; reads, once, what the server says on the way."""
-        whole = inbox.rfind(b"\n") + 1
-        if whole <= known:
-            return known
-        for line in inbox.peek(whole - known, known).split(b"\n")[:-1]:
-            self.last = line.split(None, 1)[0] if line.strip() else b""
-            if self.last == b"LOAD":
-                self._load(line)
-        return whole
-
     def step(self) -> str | None:
         assert self.passage is not None
         end = self.passage.step()
@@ -176,13 +186,16 @@
             return None
         if end == "consumer":
             return "left"
-        return {b"BYE": "ok", b"MOVE": "moved"}.get(self.last, "reset")
+        return {b"BYE": "ok", b"MOVE": "moved"}.get(self.said.last, "reset")
 
     def mute_since(self) -> int | None:
         return self.passage.asked_at if self.passage else None
 
+    def look_at(self) -> int | None:
+        return None
+
     def loads(self) -> list[float]:
-        told, self.told = self.told, []
+        told, self.said.loads = self.said.loads, []
         return told
 
     def farewell(self, due: int) -> Steps[None]:
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -452,19 +452,34 @@
             self.sock.close()
 
 
+class Framer:
+    """How much of one direction's bytes may go on, and whether that ends inside a message. This one: all.
+
+    A wire's own framer lets whole messages go, and a part only of one that is longer than the buffer.
+    """
+
+    mid = False  # what was released ends inside a message
+    asks = True  # what was released wants an answer
+
+    def release(self, inbox: Buffer, known: int) -> int:
+        """How many bytes at the head may go on; ``known`` of them were released before."""
+        return len(inbox)
+
+
 class Passage:
     """Bytes both ways between a consumer and the server that took it, from the moment it is established.
 
-    Towards the consumer only whole messages go, as ``whole`` measures them, so a farewell always fits between
-    two of them. Each side's buffer is bounded: a side that does not read is not read for.
+    Each side's buffer is bounded: a side that does not read is not read for. Our own words go between two
+    messages only.
     """
 
-    def __init__(self, consumer: Conn, server: Conn, whole: Callable[[Buffer, int], int]) -> None:
+    def __init__(self, consumer: Conn, server: Conn, outward: Framer, inward: Framer) -> None:
         self.consumer, self.server = consumer, server
-        self.whole = whole  # (buffer, bytes known to be whole) -> bytes that are whole messages
-        self.due = 0  # bytes at the head of the server's buffer that are whole messages
-        self.asked_at: int | None = None  # first bytes sent to the server since it last brought any
-        self.echo: int | None = None  # how long the server took to bring something, when it last did
+        self.outward, self.inward = outward, inward
+        self.out_due = self.in_due = 0  # released bytes at the head of the consumer's and the server's buffer
+        self.own = b""  # our own words to the server
+        self.asked_at: int | None = None  # first question to the server since it last brought any byte
+        self.heard_at = clock()
         self.ended: str | None = None  # the side that ended it
 
     def _forward(self, source: Conn, target: Conn, size: int) -> int:
@@ -476,29 +491,46 @@
         source.inbox.drop(count)
         return count
 
+    def _out(self) -> bool:
+        """From the consumer to the server; whether anything moved."""
+        came = self.consumer.fill()
+        if self.own and not self.out_due and not self.outward.mid:
+            self.own = self.own[self.server.push(self.own) :]
+            self._asked()
+        if not self.own:
+            self.out_due = self.outward.release(self.consumer.inbox, self.out_due)
+            if self.out_due:
+                count = self._forward(self.consumer, self.server, self.out_due)
+                self.out_due -= count
+                if count and self.outward.asks:
+                    self._asked()
+                return came or count > 0
+        return came
+
+    def _asked(self) -> None:
+        if self.asked_at is None:
+            self.asked_at = clock()
+
+    def _in(self) -> bool:
+        """From the server to the consumer; whether anything moved."""
+        came = self.server.fill()
+        if came:
+            self.asked_at, self.heard_at = None, clock()
+        self.in_due = self.inward.release(self.server.inbox, self.in_due)
+        if self.server.eof:
+            self.in_due = len(self.server.inbox)
+        if self.in_due:
+            count = self._forward(self.server, self.consumer, self.in_due)
+            self.in_due -= count
+            came = came or count > 0
+        return came
+
     def step(self) -> str | None:
         """Pass on what there is; 'consumer' or 'server' when that side has ended and all is passed on."""
         consumer, server = self.consumer, self.server
         for _ in range(ROUNDS):
-            came = consumer.fill()
-            if len(consumer.inbox) and self._forward(consumer, server, len(consumer.inbox)):
-                came = True
-                if self.asked_at is None:
-                    self.asked_at = clock()
-            if server.fill():
-                came = True
-                if self.asked_at is not None:
-                    self.echo = clock() - self.asked_at
-                self.asked_at = None
-            self.due = self.whole(server.inbox, self.due)
-            if server.eof:
-                self.due = len(server.inbox)
-            elif self.due == 0 and server.inbox.full:
-                self.due = len(server.inbox)  # longer than any message may be: pass it on as it is
-            if self.due:
-                count = self._forward(server, consumer, self.due)
-                self.due -= count
-                came = came or count > 0
+            came = self._out()
+            came = self._in() or came
             if consumer.broken or (consumer.eof and (not len(consumer.inbox) or server.broken)):
                 self.ended = self.ended or "consumer"
             elif server.eof and not len(server.inbox):
@@ -509,12 +541,13 @@
         return None
 
     def farewell(self, text: bytes, due: int) -> Steps[bool]:
-        """Pass on the whole messages that are there, then our own last one; whether all of it went."""
-        while self.due and clock() < due and not self.consumer.broken:
-            self.due -= self._forward(self.server, self.consumer, self.due)
-            if self.due and not self.consumer.writable:
+        """Pass on the rest of the message under way, then our own last word; whether all of it went."""
+        while (self.in_due or self.inward.mid) and clock() < due and not self.consumer.broken:
+            if not self._in():
+                if self.server.eof:
+                    break
                 yield due
-        return not self.due and (yield from self.consumer.send(text, due))
+        return not self.in_due and (yield from self.consumer.send(text, due))
 
     def finish(self, due: int) -> Steps[None]:
         """End both sides alike: a reset for a reset, an end for an end, which is heard out for a moment."""
@@ -529,9 +562,8 @@
             # It may have ended only its sending: what the server still says belongs to it.
             other.end()
             while not self.server.eof and not self.consumer.broken and clock() < due:
-                self.step()
-                if not self.server.eof and not self.consumer.broken:
+                if not self._in():
                     yield due
-            self.step()
+            self._in()
         self.server.close()
         yield from self.consumer.part(due)
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -14,9 +14,9 @@
 from arrowseam.facade import Call, Config, Facade, Invocation, Left, Rejection
 from arrowseam.net.loop import MS, SECOND, Address, Loop, Steps, clock, log, parse_address
 
-MUTE = (
-    5 * SECOND // 2
-)  # a server that brings nothing back for so long though lines were sent is taken for lost
+# A server that brings nothing back for so long though it was asked is taken for lost: sound ones answer in under
+# a millisecond, and a consumer that stays there is served nothing.
+MUTE = SECOND
 AGAIN = 200 * MS  # between two tries to reach the server of a standing connection
 REJECT_MS = 500  # when to come back, where it is not the module that refuses
 DRAIN_START = 450 * MS  # after the signal the front still sends new consumers for a while
@@ -28,7 +28,7 @@
 class Consumer(Protocol):
     """One consumer as its front sees it, with the call that is under way for it."""
 
-    def call(self, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
+    def call(self, server_name: str, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
         """Make one invoker call; 'up', or how it ended, and then it is closed."""
 
     def step(self) -> str | None:
@@ -37,6 +37,9 @@
     def mute_since(self) -> int | None:
         """When something was first sent to the server that it has not answered in any way."""
 
+    def look_at(self) -> int | None:
+        """When ``step`` wants to be called though nothing has come."""
+
     def loads(self) -> list[float]:
         """Loads told by the server since the last call."""
 
@@ -64,6 +67,7 @@
         self.live: dict[int, Invocation] = {}  # every invocation that is not over
         self.count = 0
         self.draining = False
+        self.trace = False  # log every call and every end
         self.random = random.Random(config.seed)
         self.listeners: list[Callable[[], None]] = []  # closed when the drain is over
         self.quiet = 0
@@ -116,7 +120,10 @@
                 if address is None:
                     end = "unreachable"
                 else:
-                    end = yield from consumer.call(address, answer.due, invocation.stop)
+                    end = yield from consumer.call(answer.server, address, answer.due, invocation.stop)
+                if self.trace:
+                    spent = (clock() - invocation.called_at) // MS
+                    log(f"call: {invocation.name} at {answer.server}: {end} after {spent} ms")
                 if end == "up":
                     self.facade.report(invocation, "up")
                     yield from self._hold(invocation, consumer)
@@ -131,6 +138,8 @@
             elif isinstance(answer, Left):
                 return
             elif isinstance(answer, Rejection):
+                if self.trace:
+                    log(f"rejection: {invocation.name} for {answer.retry_ms} ms")
                 yield from consumer.reject(answer.retry_ms)
                 return
             else:
@@ -142,7 +151,7 @@
         while not invocation.left():
             address = self.address(invocation.server)
             if address is not None:
-                end = yield from consumer.call(address, invocation.due, invocation.left)
+                end = yield from consumer.call(invocation.server, address, invocation.due, invocation.left)
                 if end == "up":
                     self.facade.adopt(invocation)
                     return True
@@ -162,6 +171,10 @@
             for load in consumer.loads():
                 self.facade.load(invocation, load)
             if end is not None:
+                if self.trace:
+                    mute = consumer.mute_since()
+                    waited = "" if mute is None else f", unanswered for {(clock() - mute) // MS} ms"
+                    log(f"end: {invocation.name} at {self.facade.names[invocation.backend]}: {end}{waited}")
                 self.facade.report(invocation, "moved" if end == "left" else end)
                 yield from consumer.finish(clock() + SECOND)
                 return
@@ -173,10 +186,13 @@
                 yield from consumer.farewell(clock() + SECOND)
                 return
             if invocation.move:
+                if self.trace:
+                    log(f"move: {invocation.name} off {self.facade.names[invocation.backend]}")
                 yield from consumer.farewell(clock() + SECOND)
                 self.facade.report(invocation, "moved")
                 return
-            yield None if mute is None else mute + MUTE
+            times = [at for at in (consumer.look_at(), mute and mute + MUTE) if at is not None]
+            yield min(times, default=None)
 
     def address(self, server: str) -> Address | None:
         text = self.facade.addresses.get(server)
