--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -101,6 +101,12 @@
         self.drop(len(data))
         return data
 
+    def cut(self, skip: int, size: int) -> None:
+        """Take bytes out of the middle."""
+        at = self.start + skip
+        self.data[at : self.end - size] = self.data[at + size : self.end]
+        self.end -= size
+
     def drop(self, size: int) -> None:
         self.start += size
 
@@ -465,6 +471,9 @@
         """How many bytes at the head may go on; ``known`` of them were released before."""
         return len(inbox)
 
+    def spoken(self) -> None:
+        """Words of our own have gone out in this direction."""
+
 
 class Passage:
     """Bytes both ways between a consumer and the server that took it, from the moment it is established.
@@ -496,7 +505,9 @@
         came = self.consumer.fill()
         if self.own and not self.out_due and not self.outward.mid:
             self.own = self.own[self.server.push(self.own) :]
-            self._asked()
+            if not self.own:
+                self.outward.spoken()
+                self._asked()
         if not self.own:
             self.out_due = self.outward.release(self.consumer.inbox, self.out_due)
             if self.out_due:
--- /dev/null
+++ b/arrowseam/net/nats.py
@@ -0,0 +1,481 @@
+"""The NATS front: consumers and servers that speak the NATS client protocol.
+
+It owns that wire: the operations and their limits, the greeting on both sides, what was sent early and waits
+for its server, our own PINGs, lame duck. It must never choose a server, answer twice, replay early bytes more
+than once, or cut a message.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Any
+
+from arrowseam import __version__
+from arrowseam.benchlink import WireError, _number, _table
+from arrowseam.facade import Config, ConfigError, Invocation
+from arrowseam.net.loop import (
+    MS,
+    SECOND,
+    Address,
+    Buffer,
+    Conn,
+    Framer,
+    Loop,
+    Passage,
+    Steps,
+    clock,
+    parse_address,
+)
+from arrowseam.relay import REJECT_MS, Relay
+
+CONTROL_LINE = 4096  # longest control line, without its end, that a client may send
+SERVER_LINE = 32768  # servers' INFO may be longer
+EARLY_MAX = 65536  # bytes held for a consumer that has no server yet; past that it is not read
+GREETING = 2 * SECOND  # a consumer's CONNECT is waited for so long
+ASK_AFTER = 2 * SECOND  # a server not heard for so long is asked with a PING of ours
+
+PAYLOAD = {b"PUB": 1, b"HPUB": 2, b"MSG": 1, b"HMSG": 2}  # verb -> how many of its last arguments are sizes
+ARGUMENTS = {
+    b"PUB": (2, 3),
+    b"HPUB": (3, 4),
+    b"MSG": (3, 4),
+    b"HMSG": (4, 5),
+    b"SUB": (2, 3),
+    b"UNSUB": (1, 2),
+}
+FROM_CLIENT = {b"CONNECT", b"PUB", b"HPUB", b"SUB", b"UNSUB", b"PING", b"PONG"}
+FROM_SERVER = {b"INFO", b"MSG", b"HMSG", b"PING", b"PONG", b"+OK", b"-ERR"}
+
+
+class ProtocolError(Exception):
+    """The peer broke the protocol; the message is what NATS calls it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Op:
+    """One operation at some place of a buffer."""
+
+    verb: bytes
+    rest: bytes  # what follows the verb on its line
+    size: int  # bytes of the whole operation, payload and line ends included
+
+
+def parse_op(inbox: Buffer, skip: int, verbs: set[bytes], line_max: int, payload_max: int) -> Op | None:
+    """The operation at ``skip``, if its control line is all there; raises ProtocolError where it is none."""
+    at = inbox.find(b"\n", skip)
+    if at < 0 or at - skip > line_max + 1:
+        if len(inbox) - skip > line_max + 1:
+            raise ProtocolError("Maximum Control Line Exceeded")
+        return None
+    line = inbox.peek(at - skip, skip).rstrip(b"\r")
+    words = line.replace(b"\t", b" ").split(None, 1)
+    verb = words[0].upper() if words else b""
+    rest = words[1].strip() if len(words) > 1 else b""
+    if verb not in verbs:
+        raise ProtocolError("Unknown Protocol Operation")
+    size = at + 1 - skip
+    if verb in ARGUMENTS:
+        args = rest.split()
+        low, high = ARGUMENTS[verb]
+        if not low <= len(args) <= high:
+            raise ProtocolError("Parser Error")
+        if verb in PAYLOAD:
+            sizes = args[-PAYLOAD[verb] :]
+            if not all(s.isdigit() and len(s) < 10 for s in sizes) or int(sizes[0]) > int(sizes[-1]):
+                raise ProtocolError("Parser Error")
+            if int(sizes[-1]) > payload_max:
+                raise ProtocolError("Maximum Payload Violation")
+            size += int(sizes[-1]) + 2
+    return Op(verb, rest, size)
+
+
+def parse_object(rest: bytes) -> dict[str, Any]:
+    try:
+        found = json.loads(rest)
+    except ValueError:
+        found = None
+    if not isinstance(found, dict):
+        raise ProtocolError("Parser Error")
+    return found
+
+
+def error_line(text: str) -> bytes:
+    return f"-ERR '{text}'\r\n".encode()
+
+
+# --- what our file says -----------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class NatsConfig:
+    listen: Address
+    server_port: int
+    overrides: dict[str, Address] = field(default_factory=dict)
+    users: dict[str, tuple[int, int]] = field(default_factory=dict)  # user -> class, tenant
+    names: dict[str, tuple[int, int]] = field(default_factory=dict)
+    default: tuple[int, int] | None = None
+    max_payload: int = 1 << 20
+    health: Address | None = None
+    agent: Address | None = None
+
+    def place(self, connect: dict[str, Any]) -> tuple[int, int] | None:
+        """Class and tenant of a consumer: by its user, else by its name, else as all the rest."""
+        user, name = connect.get("user"), connect.get("name")
+        found = self.users.get(user) if isinstance(user, str) else None
+        if found is None and isinstance(name, str):
+            found = self.names.get(name)
+        return found or self.default
+
+    def address(self, server: str, directory: Address) -> Address:
+        return self.overrides.get(server, (directory[0], self.server_port))
+
+
+def read_nats_config(text: bytes, config: Config) -> NatsConfig:
+    def kind(entry: Any, what: str) -> tuple[int, int]:
+        if not isinstance(entry, dict):
+            raise WireError(f"nats: {what} must be an object with class and tenant")
+        klass, tenant = config.classes.get(str(entry.get("class"))), entry.get("tenant")
+        if klass is None or (tenant is not None and tenant not in config.tenants):
+            raise WireError(f"nats: {what} names an unknown class or tenant")
+        return klass, config.tenants.get(str(tenant), 0)
+
+    def address(key: str) -> Address | None:
+        return parse_address(str(doc[key])) if doc.get(key) else None
+
+    try:
+        doc = json.loads(text)
+        if not isinstance(doc, dict):
+            raise WireError("nats: not a JSON object")
+        listen = address("listen")
+        if listen is None:
+            raise WireError("nats: listen is needed")
+        return NatsConfig(
+            listen=listen,
+            server_port=int(_number(doc, "server_port", 4222)),
+            overrides={k: parse_address(str(v)) for k, v in _table(doc, "servers").items()},
+            users={k: kind(v, f"user {k}") for k, v in _table(doc, "users").items()},
+            names={k: kind(v, f"name {k}") for k, v in _table(doc, "names").items()},
+            default=kind(doc["default"], "default") if doc.get("default") else None,
+            max_payload=int(_number(doc, "max_payload", 1 << 20)),
+            health=address("health"),
+            agent=address("agent"),
+        )
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+    except ValueError as error:
+        raise ConfigError(f"nats: {error}") from None
+
+
+# --- the passage's two directions -------------------------------------------------------------------------
+
+
+class NatsFramer(Framer):
+    """Lets whole messages go; of one larger than the buffer, what there is, and remembers the rest."""
+
+    verbs: set[bytes]
+    line_max = SERVER_LINE
+
+    def __init__(self, payload_max: int) -> None:
+        self.owed = 0  # bytes of a long message still to come
+        self.payload_max = payload_max
+        self.error = ""
+
+    def release(self, inbox: Buffer, known: int) -> int:
+        self.asks = False
+        if self.owed:
+            more = min(self.owed, len(inbox) - known)
+            self.owed -= more
+            known += more
+        while not self.owed and not self.error and known < len(inbox):
+            try:
+                op = parse_op(inbox, known, self.verbs, self.line_max, self.payload_max)
+            except ProtocolError as error:
+                self.error = str(error)
+                break
+            if op is None:
+                break
+            if not self.heed(op):
+                if known + op.size > len(inbox):
+                    break
+                inbox.cut(known, op.size)
+            elif known + op.size <= len(inbox):
+                known += op.size
+            elif op.size > inbox.limit or inbox.full:
+                self.owed = known + op.size - len(inbox)
+                known = len(inbox)
+            else:
+                break
+        self.mid = self.owed > 0
+        return known
+
+    def heed(self, op: Op) -> bool:
+        """Take note of an operation; whether it goes on to the other side."""
+        return True
+
+
+class ClientOps(NatsFramer):
+    """From the consumer: remembers whose PING is whose, since PONGs come in order."""
+
+    verbs = FROM_CLIENT
+    line_max = CONTROL_LINE
+
+    def __init__(self, payload_max: int) -> None:
+        super().__init__(payload_max)
+        self.pings: deque[bool] = deque()  # unanswered PINGs; whether each is the consumer's
+
+    def spoken(self) -> None:
+        self.pings.append(False)
+
+    def heed(self, op: Op) -> bool:
+        if op.verb == b"PING":
+            self.pings.append(True)
+            self.asks = True
+        # One CONNECT went out with the greeting, and no server may be told of another consumer.
+        return op.verb != b"CONNECT"
+
+
+class ServerOps(NatsFramer):
+    """From the server: keeps back the answers to our own PINGs, and what would lead consumers past us."""
+
+    verbs = FROM_SERVER
+
+    def __init__(self, payload_max: int, pings: deque[bool]) -> None:
+        super().__init__(payload_max)
+        self.pings = pings
+        self.lame = False
+
+    def heed(self, op: Op) -> bool:
+        if op.verb == b"PONG" and self.pings:
+            return self.pings.popleft()
+        if op.verb == b"INFO":
+            try:
+                self.lame = self.lame or parse_object(op.rest).get("ldm") is True
+            except ProtocolError as error:
+                self.error = str(error)
+            return False
+        return True
+
+
+# --- the front --------------------------------------------------------------------------------------------
+
+
+class NatsConsumer:
+    """One consumer, with its CONNECT, and the call that is under way for it or the server that took it."""
+
+    def __init__(self, front: NatsFront, conn: Conn, connect: bytes) -> None:
+        self.front, self.conn, self.connect = front, conn, connect
+        self.verbose = bool(parse_object(connect).get("verbose", False))
+        self.passage: Passage | None = None
+        self.out: ClientOps | None = None
+        self.into: ServerOps | None = None
+
+    def call(self, server_name: str, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        address = self.front.nats.address(server_name, address)
+        connect_due = min(due, clock() + self.front.connect_timeout)
+        server = yield from self.front.loop.connect(address, connect_due, stop)
+        if server is None:
+            return "off" if stop() else "timeout" if clock() >= due > connect_due else "unreachable"
+        server.inbox.limit = EARLY_MAX
+        end = "reset"
+        try:
+            end = yield from self._greet(server, due, stop)
+        finally:
+            if end != "up":
+                server.close()  # before anything else is tried for this invocation
+        return end
+
+    def _greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        """Await all of INFO, say CONNECT and PING; PONG means that the server has taken the consumer."""
+        sent = False
+        while True:
+            server.fill()
+            try:
+                op = parse_op(server.inbox, 0, FROM_SERVER, SERVER_LINE, self.front.nats.max_payload)
+                if op is not None and op.size <= len(server.inbox):
+                    server.inbox.drop(op.size)
+                    if op.verb == b"-ERR":
+                        busy = b"maximum connections" in op.rest.lower() or b"shutdown" in op.rest.lower()
+                        return "full" if busy else "error"
+                    if op.verb == b"INFO":
+                        info = parse_object(op.rest)
+                        if info.get("ldm") is True:
+                            return "full"  # it drains: it has taken nothing
+                        if info.get("tls_required") is True:
+                            return "error"
+                        if not sent:
+                            sent = True
+                            hello = b"CONNECT " + self.connect + b"\r\nPING\r\n"
+                            if not (yield from server.send(hello, due)):
+                                return "unreachable"
+                    elif op.verb == b"PONG" and sent:
+                        self._established(server)
+                        return "up"
+                    elif op.verb == b"PING" and not (yield from server.send(b"PONG\r\n", due)):
+                        return "reset"
+                    continue
+            except ProtocolError:
+                return "error"
+            if server.eof:
+                # Before CONNECT is out there was nothing that could have run.
+                return "reset" if sent else "unreachable"
+            if stop():
+                return "off"
+            if clock() >= due:
+                return "timeout"
+            yield due
+
+    def _established(self, server: Conn) -> None:
+        self.out = ClientOps(self.front.nats.max_payload)
+        self.into = ServerOps(self.front.nats.max_payload, self.out.pings)
+        # What the consumer said early is still in its buffer: the passage sends it on, once.
+        self.passage = Passage(self.conn, server, self.out, self.into)
+
+    def step(self) -> str | None:
+        passage, out, into = self.passage, self.out, self.into
+        assert passage is not None and out is not None and into is not None
+        if clock() - passage.heard_at >= ASK_AFTER and passage.asked_at is None and not passage.own:
+            passage.own = b"PING\r\n"
+        end = passage.step()
+        if end is None and into.lame:
+            return "moved"
+        if end is None and into.error:
+            return "reset"
+        if end is None and out.error:
+            return "left"
+        return {None: None, "consumer": "left", "server": "reset"}[end]
+
+    def look_at(self) -> int | None:
+        return self.passage.heard_at + ASK_AFTER if self.passage and self.passage.asked_at is None else None
+
+    def mute_since(self) -> int | None:
+        return self.passage.asked_at if self.passage else None
+
+    def loads(self) -> list[float]:
+        return []  # NATS servers tell no load
+
+    def farewell(self, due: int) -> Steps[None]:
+        """Lame duck: the consumer is told to look for another server, then both sides are closed."""
+        if self.passage is not None:
+            yield from self.passage.farewell(self.front.info(ldm=True), due)
+            self.passage.server.close()
+        yield from self.conn.part(due)
+
+    def finish(self, due: int) -> Steps[None]:
+        if self.into is not None and self.into.lame:
+            yield from self.farewell(due)
+        elif self.passage is not None and self.out is not None and self.out.error:
+            yield from self.passage.farewell(error_line(self.out.error), due)
+            self.passage.server.close()
+            yield from self.conn.part(due)
+        elif self.passage is not None:
+            yield from self.passage.finish(due)
+        else:
+            yield from self.conn.part(due)
+
+    def close(self) -> None:
+        if self.passage is not None:
+            self.passage.server.close()
+        self.conn.close()
+
+    def last_line(self, line: bytes) -> Steps[None]:
+        due = clock() + SECOND // 2
+        yield from self.conn.send(line, due)
+        yield from self.conn.part(due)
+
+    def reject(self, retry_ms: int) -> Steps[None]:
+        # NATS has no word for 'come back later'; clients know the first part, people read the second.
+        yield from self.last_line(error_line(f"Maximum Connections Exceeded, Retry After {retry_ms} ms"))
+
+    def fail(self) -> Steps[None]:
+        yield from self.last_line(error_line("Upstream Failed"))
+
+
+class NatsFront:
+    """Greets consumers, reads who they are, and hands each to the core."""
+
+    def __init__(self, loop: Loop, config: Config, nats: NatsConfig, relay: Relay) -> None:
+        self.loop, self.config, self.nats, self.relay = loop, config, nats, relay
+        self.connect_timeout = config.settings.limits.connect_timeout or 250 * MS
+        self.clients = 0
+
+    def info(self, ldm: bool = False) -> bytes:
+        host, port = self.nats.listen
+        fields: dict[str, Any] = {
+            "server_id": f"arrowseam-{self.config.name}",
+            "server_name": self.config.name or "arrowseam",
+            "version": __version__,
+            "proto": 1,
+            "host": host,
+            "port": port,
+            "headers": True,
+            "max_payload": self.nats.max_payload,
+        }
+        if ldm:
+            fields["ldm"] = True
+        return b"INFO " + json.dumps(fields, separators=(",", ":")).encode() + b"\r\n"
+
+    def serve(self, conn: Conn) -> Steps[None]:
+        conn.inbox.limit = EARLY_MAX
+        due = clock() + GREETING
+        if self.loop.scarce:
+            yield from self._refuse(conn, f"Maximum Connections Exceeded, Retry After {REJECT_MS} ms")
+            return
+        if not (yield from conn.send(self.info(), due)):
+            return
+        try:
+            connect = yield from self._connect(conn, due)
+            if connect is None:
+                return
+            fields = parse_object(connect)
+        except ProtocolError as error:
+            yield from self._refuse(conn, str(error))
+            return
+        place = self.nats.place(fields)
+        if place is None:
+            yield from self._refuse(conn, "Authorization Violation")
+            return
+        consumer = NatsConsumer(self, conn, connect)
+        if consumer.verbose and not (yield from conn.send(b"+OK\r\n", due)):
+            return
+        self.clients += 1
+        name = fields.get("name") or fields.get("user") or ""
+        yield from self.relay.serve(
+            Invocation(
+                klass=place[0],
+                tenant=place[1],
+                key=int.from_bytes(blake2b(str(name).encode(), digest_size=8).digest(), "big"),
+                due=clock() + self.config.settings.classes[place[0]].deadline,
+                name=f"nats-{self.clients}",
+                left=lambda: conn.left,
+            ),
+            consumer,
+        )
+
+    def _connect(self, conn: Conn, due: int) -> Steps[bytes | None]:
+        """The consumer's CONNECT; what it sends behind that stays in its buffer. None if it left."""
+        while True:
+            conn.fill()
+            op = parse_op(conn.inbox, 0, FROM_CLIENT, CONTROL_LINE, self.nats.max_payload)
+            if op is not None:
+                if op.verb == b"CONNECT":
+                    conn.inbox.drop(op.size)
+                    return op.rest
+                if op.verb != b"PING":
+                    raise ProtocolError("Authorization Violation")  # CONNECT comes first
+                conn.inbox.drop(op.size)
+                yield from conn.send(b"PONG\r\n", due)
+                continue
+            if conn.eof:
+                return None
+            if clock() >= due:
+                raise ProtocolError("Authentication Timeout")
+            yield due
+
+    def _refuse(self, conn: Conn, text: str) -> Steps[None]:
+        due = clock() + SECOND // 2
+        yield from conn.send(error_line(text), due)
+        yield from conn.part(due)
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -14,8 +14,8 @@
 from arrowseam.facade import Call, Config, Facade, Invocation, Left, Rejection
 from arrowseam.net.loop import MS, SECOND, Address, Loop, Steps, clock, log, parse_address
 
-# A server that brings nothing back for so long though it was asked is taken for lost: sound ones answer in under
-# a millisecond, and a consumer that stays there is served nothing.
+# A server that brings nothing back for so long though it was asked is taken for lost: sound ones answer
+# within a millisecond, and a consumer that stays there is served nothing.
 MUTE = SECOND
 AGAIN = 200 * MS  # between two tries to reach the server of a standing connection
 REJECT_MS = 500  # when to come back, where it is not the module that refuses
