--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -585,7 +585,9 @@
                 server = self._next(job)
         if server is None:
             margin = 2 * self.settings.tick  # a timer may come a tick late, and an answer must not
-            if left <= max(2 * margin, HURRY * aim) or self._allowed(job) == []:
+            # With all of the order tried there is nothing to wait for: the refusal goes out at once.
+            spent = bool(job.tried) and all(s in job.tried for s in self.ready)
+            if left <= max(2 * margin, HURRY * aim) or self._allowed(job) == [] or spent:
                 return self._give_up(job)
             # Nothing can be sent to just now (no list yet, or all is rationed): hold it and look again.
             self.held[job.id] = job
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -263,6 +263,7 @@
         self.current: Task | None = None
         self.turn: Callable[[int], int | None] = lambda now: None
         self.stopped = False
+        self.listeners: list[Listener] = []
         # Held so that a taken connection can be answered even when no descriptor is left.
         self.spare = os.open("/dev/null", os.O_RDONLY)
 
@@ -316,7 +317,9 @@
         return conn
 
     def listen(self, address: Address, name: str, serve: Callable[[Conn], Steps[None]]) -> Listener:
-        return Listener(self, address, name, serve)
+        listener = Listener(self, address, name, serve)
+        self.listeners.append(listener)
+        return listener
 
     # --- coroutines ---
 
@@ -553,12 +556,14 @@
 
     def farewell(self, text: bytes, due: int) -> Steps[bool]:
         """Pass on the rest of the message under way, then our own last word; whether all of it went."""
-        while (self.in_due or self.inward.mid) and clock() < due and not self.consumer.broken:
-            if not self._in():
-                if self.server.eof:
-                    break
-                yield due
-        return not self.in_due and (yield from self.consumer.send(text, due))
+        rest_due = clock() + (due - clock()) // 2
+        while not self.consumer.broken and not self.server.eof and clock() < rest_due:
+            if self._in():
+                continue
+            if not self.inward.mid and not len(self.server.inbox):
+                break
+            yield rest_due
+        return not self.in_due and not self.inward.mid and (yield from self.consumer.send(text, due))
 
     def finish(self, due: int) -> Steps[None]:
         """End both sides alike: a reset for a reset, an end for an end, which is heard out for a moment."""
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,229 @@
+"""One small world on loopback for the tests of the network code: stand-ins for consumers, servers and the
+directory, written as coroutines on the proxy's own loop, so a test needs no threads and waits on conditions.
+
+``World(wire)`` has one proxy with both fronts; ``wire`` says which one the stand-ins speak.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import re
+import time
+from collections.abc import Callable
+from typing import Any
+
+from arrowseam.__main__ import wire as wire_up
+from arrowseam.facade import read_config
+from arrowseam.net.loop import SECOND, Conn, Loop, Steps, clock
+from arrowseam.net.nats import read_nats_config
+
+PORT = 0
+LANE = {"aim": 300000, "deadline": 1800000, "effect": "retryable", "name": "tech"}
+SETTINGS: dict[str, Any] = {
+    "balancers": 1,
+    "caps": {"max_attempts": 5, "dial_timeout": 250000, "max_retry_after": 1500000, "retry_after": True},
+    "invariants": {"cold_share": 0.12, "drain_grace": 2000000, "fall_multiple": 4.0, "overload_for": 2000000,
+                   "warm_up": 24000000, "ask_within": 400000},
+    "lanes": [LANE, LANE | {"name": "resident", "deadline": 600000}],
+    "tenants": [{"name": "acme", "share": 1.0}],
+    "kinds": ["k"],
+    "zones": ["z"],
+    "registry_mode": "subscribe",
+}  # fmt: skip
+
+# What each wire's words look like: the opening, and how each answer begins.
+WORDS: dict[str, dict[str, Any]] = {
+    "lines": {
+        "open": lambda n, klass: b"OPEN %016x 0a c=%s,t=acme,d=%d\r\n" % (n, klass, LANE_MS[klass]),
+        "up": b"UP ", "rejected": b"BUSY ", "failed": b"ERR", "moved": b"MOVE\r\n",
+        "ask": b"hello 1\r\n", "reply": b"hello 1\r\n", "half": b"half a ", "rest": b"line\r\n",
+        "server busy": b"BUSY\r\n", "server error": b"ERR\r\n", "greeting": b"", "half greeting": b"UP ha",
+    },
+    "nats": {
+        "open": lambda n, klass: b'CONNECT {"user":"%s","name":"%d"}\r\nPING\r\n' % (klass, n),
+        "up": b"PONG\r\n", "rejected": b"-ERR 'Maximum Connections Exceeded, Retry After ",
+        "failed": b"-ERR 'Upstream Failed'", "moved": b'"ldm":true}\r\n',
+        "ask": b"PUB a 2\r\nhi\r\n", "reply": b"MSG a 1 2\r\nhi\r\n",
+        "half": b"MSG a 1 10\r\nhalf ", "rest": b"more.\r\n",
+        "server busy": b"-ERR 'maximum connections exceeded'\r\n", "server error": b"-ERR 'Nope'\r\n",
+        "greeting": b'INFO {"server_id":"s","max_payload":1048576}\r\n', "half greeting": b'INFO {"ser',
+    },
+}  # fmt: skip
+LANE_MS = {b"tech": 1800, b"resident": 600}
+
+
+class Server:
+    """A stand-in server. ``mode`` says how it answers a first line: up, busy, error, reset, silent (takes it
+    and says nothing), half (stalls midway through its greeting), or deaf (says nothing after UP)."""
+
+    def __init__(self, world: World, name: str, mode: str) -> None:
+        self.world, self.name, self.mode = world, name, mode
+        self.heard: list[bytearray] = []  # all that came, a connection each
+        self.live: list[Conn] = []
+        self.opened_at: list[int] = []
+        self.listener = world.loop.listen(("127.0.0.1", 0), name, self.serve)
+        self.row = {"instanceId": name, "hostPort": f"127.0.0.1:{self.listener.address[1]}", "zone": "z",
+                    "machineType": "k", "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}  # fmt: skip
+
+    def serve(self, conn: Conn) -> Steps[None]:
+        words, mode, got = self.world.words, self.mode, bytearray()
+        self.heard.append(got)
+        self.opened_at.append(clock())
+        self.live.append(conn)
+        self.world.flying += 1
+        self.world.most_flying = max(self.world.most_flying, self.world.flying)
+        answered = False
+        try:
+            yield from conn.send(
+                words["half greeting"] if mode == "half" else words["greeting"], clock() + SECOND
+            )
+            while not conn.eof and not conn.closed:
+                if not conn.fill():
+                    if not conn.eof:
+                        yield None
+                    continue
+                data = conn.inbox.take(len(conn.inbox))
+                got += data
+                if mode in ("silent", "half") or (mode == "deaf" and answered):
+                    continue
+                if not answered and (b"PING" in got or self.world.wire == "lines"):
+                    if mode == "reset":
+                        conn.close(reset=True)
+                    elif mode in ("busy", "error"):
+                        yield from conn.send(words["server " + mode], clock() + SECOND)
+                        return
+                    answered = True
+                    self.world.flying -= 1
+                    yield from conn.send(
+                        b"UP r1\r\n" if self.world.wire == "lines" else b"", clock() + SECOND
+                    )
+                    data = b"" if self.world.wire == "lines" else data
+                if self.world.wire == "lines":
+                    yield from conn.send(data, clock() + SECOND)
+                else:
+                    yield from conn.send(b"PONG\r\n" * data.count(b"PING\r\n"), clock() + SECOND)
+                    yield from conn.send(words["reply"] * data.count(b"PUB "), clock() + SECOND)
+        finally:
+            self.live.remove(conn)
+            self.world.flying -= not answered
+
+    def say(self, data: bytes) -> None:
+        for conn in self.live:
+            assert conn.push(data) == len(data)
+
+
+class Consumer:
+    """A stand-in consumer: what it got, and when its connection ended."""
+
+    def __init__(self, world: World, opening: bytes) -> None:
+        self.world, self.got, self.conn = world, bytearray(), None
+        self.ended_at = 0
+        self.reading = True
+        self.began = clock()
+        world.loop.spawn(self.run(opening), "consumer")
+
+    def run(self, opening: bytes) -> Steps[None]:
+        conn = yield from self.world.loop.connect(self.world.address, clock() + SECOND)
+        assert conn is not None
+        self.conn = conn
+        yield from conn.send(opening, clock() + SECOND)
+        while not conn.eof and not conn.closed:
+            if self.reading and conn.fill():
+                self.got += conn.inbox.take(len(conn.inbox))
+            elif not conn.eof:
+                yield None
+        self.ended_at = clock()
+        conn.close()
+
+    def say(self, data: bytes) -> None:
+        assert self.conn is not None and self.conn.push(data) == len(data)
+
+    def has(self, word: str) -> bool:
+        return self.world.words[word] in bytes(self.got)
+
+    @property
+    def answers(self) -> int:
+        """Final answers, in whatever form."""
+        return sum(bytes(self.got).count(self.world.words[w]) for w in ("up", "rejected", "failed"))
+
+
+class World:
+    def __init__(self, wire: str, *modes: str, known: bool = True, **changes: Any) -> None:
+        self.wire, self.words, self.loop = wire, WORDS[wire], Loop()
+        self.flying = self.most_flying = 0
+        self.version, self.told, self.calls = 1, [], []
+        self.bad: bytes | None = None  # what the directory answers in place of a list
+        self.servers = [Server(self, f"s{n}", mode) for n, mode in enumerate(modes)]
+        directory = self.loop.listen(("127.0.0.1", 0), "directory", self._directory)
+        rows = [server.row for server in self.servers]
+        doc = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{directory.address[1]}",
+            "seed": "1f", "limits": {"sockets": 1000}, "settings": SETTINGS | changes,
+            "known": {"generation": 1, "reset": True, "instances": rows if known else []},
+        }  # fmt: skip
+        self.config = read_config(json.dumps(doc).encode())
+        place = {user: {"class": user, "tenant": "acme"} for user in ("tech", "resident")}
+        nats = {"listen": "127.0.0.1:0", "users": place, "health": "127.0.0.1:0", "agent": "127.0.0.1:0"}
+        nats["servers"] = {row["instanceId"]: row["hostPort"] for row in rows}
+        self.second = read_nats_config(json.dumps(nats).encode(), self.config)
+        self.relay = wire_up(self.loop, self.config, self.second)
+        self.addresses = {listener.name: listener.address for listener in self.loop.listeners}
+        self.address = self.addresses["front" if wire == "lines" else "nats"]
+
+    def _directory(self, conn: Conn) -> Steps[None]:
+        while (line := (yield from conn.line(1000, clock() + 60 * SECOND))) is not None:
+            if not line.startswith(b"GET"):
+                continue
+            self.calls.append((clock(), line.split()[1].decode()))
+            since = re.search(rb"since=(\d+)", line)
+            while since and int(since[1]) >= self.version and self.bad is None:
+                yield clock() + 5000
+            text = json.dumps(
+                {"generation": self.version, "reset": not since, "instances": self.told}
+            ).encode()
+            text = self.bad if self.bad is not None else text
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text)
+            yield from conn.send(head + text, clock() + SECOND)
+
+    def tell(self, **rows: dict[str, Any]) -> None:
+        """The directory's list changes: fields by server."""
+        self.told = [server.row | rows[server.name] for server in self.servers if server.name in rows]
+        self.version += 1
+
+    def consumer(self, number: int = 1, klass: bytes = b"tech", more: bytes = b"") -> Consumer:
+        return Consumer(self, self.words["open"](number, klass) + more)
+
+    def until(self, condition: Callable[[], Any], seconds: float = 5.0) -> None:
+        """Run the world until the condition holds."""
+        turn, end = self.relay.turn, time.monotonic() + seconds
+
+        def watched(now: int) -> int:
+            due = turn(now)
+            self.loop.stopped = bool(condition()) or time.monotonic() > end
+            return min(due or now + 10_000, now + 10_000)
+
+        self.loop.turn = watched
+        self.loop.stopped = False
+        self.loop.run()
+        assert condition(), "it did not come about"
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, to see that nothing happens."""
+        end = time.monotonic() + seconds
+        self.until(lambda: time.monotonic() >= end, seconds + 5)
+
+    def up(self, count: int = 1, **fields: Any) -> list[Consumer]:
+        """Consumers that have been served."""
+        found = [self.consumer(n + 1, **fields) for n in range(count)]
+        self.until(lambda: all(c.has("up") for c in found))
+        return found
+
+    def close(self) -> None:
+        for conn in list(self.loop.conns.values()):
+            if isinstance(conn, Conn):
+                conn.close()
+        for listener in self.loop.listeners:
+            listener.sock.close()
+        with contextlib.suppress(OSError):
+            self.loop.epoll.close()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -303,3 +303,12 @@
     (send,) = sends(clock.step(ask(2)))
     clock.step(ended(send, api.Outcome.TIMEOUT, elapsed=2_000))
     assert clock.balancer._strikes(clock.balancer.servers[100]) == 0.0
+
+
+def test_a_request_that_has_tried_all_is_refused_at_once() -> None:
+    """Seen with two stand-in servers, both full: it was held till near its deadline with nothing to wait for."""
+    clock = Clock(relay(backends(2)))
+    first = sends(clock.step(ask(1)))[0]
+    second = sends(clock.step(ended(first, api.Outcome.FULL), after=1000))[0]
+    (answer,) = clock.step(ended(second, api.Outcome.FULL, 1), after=1000)
+    assert isinstance(answer, api.Refuse) and answer.retry_after > 0
--- /dev/null
+++ b/tests/test_fronts.py
@@ -0,0 +1,210 @@
+"""The rules on real sockets, each shown on both fronts; the wires differ, the core does not."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+import pytest
+from network import World
+
+from arrowseam.net.loop import SECOND, clock
+
+
+@pytest.fixture(params=["lines", "nats"])
+def world(request: pytest.FixtureRequest) -> Iterator[Callable[..., World]]:
+    made: list[World] = []
+
+    def make(*modes: str, **fields: object) -> World:
+        made.append(World(request.param, *modes, **fields))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.mark.parametrize("mode", ["busy", "error", "reset", "half"])
+def test_a_call_that_fails_is_followed_by_the_next_and_never_overlaps_it(world, mode):
+    w = world(mode, mode, mode, "up")
+    seen = [w.consumer(n) for n in range(4)]
+    w.until(lambda: all(c.answers for c in seen))
+    w.run(0.05)
+    assert all(c.answers == 1 for c in seen)
+    assert any(c.has("up") for c in seen)
+    # Nothing of an earlier call may be out when the next begins: one consumer, one call.
+    w2 = world(mode, mode, "up")
+    w2.consumer()
+    w2.until(lambda: w2.servers[2].live or sum(len(s.heard) for s in w2.servers) >= 3)
+    assert w2.most_flying == 1
+
+
+def test_a_consumer_that_none_takes_is_refused_at_once_and_told_when_to_come(world):
+    """Never held back: the module has given up, and says when to come again."""
+    w = world("busy", "busy")
+    consumer = w.consumer()
+    w.until(lambda: consumer.ended_at)
+    assert consumer.has("rejected") and consumer.answers == 1
+    assert consumer.ended_at - consumer.began < SECOND
+
+
+def test_the_answer_comes_before_the_consumer_gives_up(world):
+    w = world("silent", "silent")
+    consumer = w.consumer(klass=b"resident")
+    w.until(lambda: consumer.ended_at)
+    assert consumer.answers == 1 and not consumer.has("up")
+    assert consumer.ended_at - consumer.began <= 0.6 * SECOND
+
+
+def test_nothing_new_goes_to_a_server_that_drains(world):
+    w = world("up", "up")
+    w.up()
+    w.until(lambda: w.calls)
+    w.tell(s0={"lifecycle": "Terminating"})
+    w.until(lambda: w.relay.facade.ready == 1)
+    before = len(w.servers[0].heard)
+    w.up(20)
+    assert len(w.servers[0].heard) == before
+
+
+def test_a_cold_server_is_sent_less(world):
+    """It may do 12% of its work at first: consumers that come again are rationed there."""
+    w = world("up", "up")
+    w.up(20)
+    w.tell(s0={"startedAtMs": int(time.time() * 1000)})
+    w.until(lambda: any("since=2" in target for _, target in w.calls))
+    at = len(w.servers[0].heard), len(w.servers[1].heard)
+    w.up(40)
+    assert len(w.servers[0].heard) - at[0] < len(w.servers[1].heard) - at[1]
+
+
+def test_messages_pass_both_ways(world):
+    w = world("up")
+    (consumer,) = w.up()
+    consumer.say(w.words["ask"])
+    w.until(lambda: consumer.has("reply"))
+    assert w.words["ask"] in w.servers[0].heard[0]
+
+
+def test_large_messages_arrive_whole_though_the_reader_is_slow(world):
+    """Guards against lost bytes at partial writes and full buffers."""
+    w = world("up")
+    (consumer,) = w.up()
+    consumer.reading = False
+    size = 400_000
+    nats = w.wire == "nats"
+    text = b"x" * 998 + b"\r\n"
+    data = b"MSG a 1 %d\r\n" % size + text * (size // 1000) + b"\r\n" if nats else text * (size // 1000)
+    w.loop.spawn(w.servers[0].live[0].send(data, clock() + 5 * SECOND), "flood")
+    w.run(0.05)
+    consumer.reading = True
+    w.loop.wake(consumer.conn.owner)
+    w.until(lambda: len(consumer.got) >= size)
+    assert bytes(consumer.got).endswith(data)
+
+
+def test_a_move_goes_between_two_messages(world):
+    w = world("up")
+    (consumer,) = w.up()
+    w.servers[0].say(w.words["half"])
+    (invocation,) = w.relay.live.values()
+    invocation.move = True
+    invocation.wake()
+    w.run(0.05)
+    assert not consumer.has("moved")
+    w.servers[0].say(w.words["rest"])
+    w.until(lambda: consumer.ended_at)
+    text = bytes(consumer.got)
+    assert text.index(w.words["half"] + w.words["rest"]) < text.index(w.words["moved"])
+    assert text.endswith(w.words["moved"])
+    w.until(lambda: not w.servers[0].live)
+
+
+def test_a_server_that_brings_nothing_back_loses_its_consumer(world):
+    w = world("deaf")
+    (consumer,) = w.up()
+    consumer.say(w.words["ask"])
+    w.until(lambda: consumer.ended_at)
+    assert consumer.has("moved") and consumer.ended_at - consumer.began < 4 * SECOND
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_what_a_server_ends_is_ended_for_its_consumer(world, reset):
+    w = world("up")
+    (consumer,) = w.up()
+    w.servers[0].live[0].close(reset=reset)
+    began = clock()
+    w.until(lambda: consumer.ended_at and not w.relay.live)
+    assert consumer.ended_at - began < SECOND
+
+
+def test_what_a_consumer_ends_is_ended_at_its_server(world):
+    w = world("up")
+    (consumer,) = w.up()
+    consumer.conn.close()
+    w.until(lambda: not w.servers[0].live and not w.relay.live)
+
+
+def test_a_consumer_that_leaves_early_ends_its_call_and_gets_no_other(world):
+    w = world("silent", "silent")
+    consumer = w.consumer()
+    w.until(lambda: w.flying)
+    consumer.conn.close()
+    w.until(lambda: not w.flying and not w.relay.live)
+    w.run(0.4)
+    assert sum(len(s.heard) for s in w.servers) == 1
+    assert not w.relay.facade.invocations
+
+
+def test_a_drain_moves_all_spread_over_the_time_and_still_serves(world):
+    w = world("up", "up")
+    seen = w.up(12)
+    w.relay.drain()
+    late = w.consumer(99)
+    w.until(lambda: late.has("up"))
+    w.until(lambda: not w.relay.live and w.loop.stopped)
+    ends = sorted(c.ended_at - late.began for c in [*seen, late])
+    assert all(c.has("moved") for c in [*seen, late])
+    assert ends[-1] < (1.8 + 0.7) * SECOND and ends[-1] - ends[0] > 0.3 * SECOND
+
+
+def test_a_drain_answers_what_is_not_placed(world):
+    w = world("silent")
+    consumer = w.consumer()
+    w.until(lambda: w.flying)
+    w.relay.drain()
+    w.until(lambda: consumer.ended_at)
+    assert consumer.answers == 1 and consumer.ended_at - consumer.began < (1.8 + 0.7) * SECOND
+
+
+def test_where_descriptors_are_scarce_consumers_are_refused_at_once(world):
+    w = world("up")
+    w.loop.sockets = len(w.loop.conns) + 10
+    consumer = w.consumer()
+    w.until(lambda: consumer.ended_at)
+    assert consumer.has("rejected") and not w.servers[0].heard
+
+
+def test_a_fault_in_one_coroutine_ends_that_connection_only(world, monkeypatch, capfd):
+    w = world("up")
+    (good,) = w.up()
+    monkeypatch.setattr(w.relay, "address", lambda name: 1 // 0)
+    bad = w.consumer(2)
+    w.until(lambda: bad.ended_at and len(w.relay.live) == 1)
+    assert bad.has("failed") and not good.ended_at
+    assert "ZeroDivisionError" in capfd.readouterr().err
+    assert len(w.relay.live) == len(w.relay.facade.invocations) == 1
+
+
+def test_what_came_early_reaches_the_winner_once_and_none_else(world):
+    """The hard case: a server stalls midway through its greeting, the consumer has spoken already."""
+    w = world("half", "half", "half", "up")
+    early = b"SUB news 1\r\nPUB a 2\r\nhi\r\n" if w.wire == "nats" else b"early\r\n"
+    consumer = w.consumer(more=early)
+    w.until(lambda: consumer.answers)
+    if consumer.has("up"):
+        w.until(lambda: consumer.has("reply") if w.wire == "nats" else b"early" in consumer.got)
+    heard = Counter(s.name for s in w.servers for got in s.heard if early in got)
+    assert heard == ({"s3": 1} if consumer.has("up") else {})
+    assert sum(bytes(got).count(early) for got in w.servers[3].heard) == heard["s3"]
