--- /dev/null
+++ b/tests/test_wires.py
@@ -0,0 +1,444 @@
+"""Tables of cases for the parsers, and what belongs to one wire alone."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from network import LANE, SETTINGS, World
+
+from arrowseam.facade import ConfigError, read_config, read_listing
+from arrowseam.net import lines, nats
+from arrowseam.net.loop import MS, SECOND, Buffer, clock, parse_address
+
+
+def buffer(data: bytes, limit: int = 8192) -> Buffer:
+    found = Buffer(limit)
+    while data:
+        view = found.room()
+        size = min(len(view), len(data))
+        view[:size] = data[:size]
+        view.release()
+        found.end += size
+        data = data[size:]
+    return found
+
+
+def config(**changes: Any) -> Any:
+    doc = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff", "settings": SETTINGS}
+    return read_config(json.dumps(doc | changes).encode())
+
+
+@pytest.fixture
+def world() -> Iterator[Callable[..., World]]:
+    made: list[World] = []
+
+    def make(*modes: str, **fields: Any) -> World:
+        made.append(World(fields.pop("wire", "lines"), *modes, **fields))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+# --- the buffer -------------------------------------------------------------------------------------------
+
+
+def test_a_buffer_is_compacted_in_place_and_keeps_its_bytes():
+    found = buffer(b"a" * 400, 600)
+    found.drop(390)
+    data = found.data
+    for n in range(50):
+        view = found.room()
+        view[:10] = b"%010d" % n
+        view.release()
+        found.end += 10
+        assert found.take(10) == (b"a" * 10 if n == 0 else b"%010d" % (n - 1))
+    assert found.data is data and len(data) <= 8192
+    found.cut(2, 5)
+    assert found.take(9) == b"00049"
+
+
+# --- lines ------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("line", "onward"),
+    [
+        (b"OPEN 9b 7f c=tech,t=acme,d=2000,g=5c", b"OPEN 9b 7f c=tech,t=acme,d=70,g=5c\r\n"),
+        (b"OPEN 9b 7f d=1,c=tech,zz=,again=1", b"OPEN 9b 7f d=70,c=tech,zz=,again=1\r\n"),
+        (b"OPEN 9b 7f c=tech,d=9,at=s-1,h=2.5", b"OPEN 9b 7f c=tech,d=70,at=s-1,h=2.5\r\n"),
+    ],
+)
+def test_a_first_line_goes_on_unchanged_but_for_d(line, onward):
+    assert lines.parse_open(line).onward(70) == onward
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"",
+        b"OPEN",
+        b"OPEN 9b 7f",
+        b"OPEN 9b 7f c",
+        b"OPEN 9b 7f =x,d=1",
+        b"OPEN 9b zz c=tech,d=1",
+        b"HELLO 1 2 3",
+        b"OPEN 9b 7f c=tech",
+        b"OPEN 9b 7f d=5",
+        b"OPEN 9b 7f c=tech,d=x",
+        b"OPEN 9b 7f c=tech,d=-5",
+        b"OPEN 9b 7f c=tech,d=5,d=6",
+        b"OPEN  7f c=tech,d=5",
+        b"OPEN 9b 7f c=tech,d=5 more",
+        b"open 9b 7f c=tech,d=5",
+        b"OPEN 9b 7f c=odd,d=5",
+        b"OPEN 9b 7f c=tech,t=odd,d=5",
+        b"OPEN 9b 7f c=tech,d=5,h=x",
+        b"OPEN \xff 7f c=tech,d=5",
+    ],
+)
+def test_a_bad_first_line_is_failed_and_closed(world, line):
+    with pytest.raises(lines.BadLine):
+        lines.invocation_of(lines.parse_open(line), config(), 0)
+    w = world("up")
+    w.words = w.words | {"open": lambda n, klass: line + b"\r\n"}
+    consumer = w.consumer()
+    w.until(lambda: consumer.ended_at)
+    assert bytes(consumer.got) == b"ERR\r\n" and not w.servers[0].heard
+
+
+def test_what_a_first_line_says_reaches_the_module():
+    opening = lines.parse_open(b"OPEN 9b 7f c=resident,t=acme,d=1500,g=5c,r=1,again=1,h=2.5,at=s7")
+    found = lines.invocation_of(opening, config(), 100)
+    assert (found.klass, found.tenant, found.key, found.group, found.load) == (1, 0, 0x7F, 0x5C, 2.5)
+    assert found.repeat and found.returned and found.server == "s7"
+    assert found.due == 100 + 1500 * MS - lines.MARGIN  # the client's clock began before ours
+
+
+def test_an_overlong_first_line_is_failed(world):
+    w = world("up")
+    w.words = w.words | {"open": lambda n, klass: b"OPEN " + b"x" * 5000}
+    consumer = w.consumer()
+    w.until(lambda: consumer.ended_at)
+    assert bytes(consumer.got) == b"ERR\r\n"
+
+
+def test_the_front_is_told_that_we_are_up(world):
+    w = world("up")
+    w.words = w.words | {"open": lambda n, klass: b"PING\r\nPING\r\n"}
+    consumer = w.consumer()
+    w.until(lambda: bytes(consumer.got) == b"PONG\r\nPONG\r\n")
+
+
+def test_a_server_hears_how_long_the_call_will_wait(world):
+    w = world("silent", "up")
+    for n in range(4):
+        w.consumer(n)
+    w.until(lambda: w.servers[1].heard)
+    (wait,) = {int(got.split(b"d=")[1].split(b"\r")[0]) <= 1785 for s in w.servers for got in s.heard}
+    assert wait
+
+
+def test_a_standing_connection_goes_to_its_own_server(world):
+    w = world("up", "up", "up")
+    line = b"OPEN 01 0a c=tech,t=acme,d=4294967,at=s2\r\n"
+    w.words = w.words | {"open": lambda n, klass: line}
+    seen = [w.consumer() for _ in range(5)]
+    w.until(lambda: all(c.has("up") for c in seen))
+    assert [len(s.heard) for s in w.servers] == [0, 0, 5]
+    assert all(b"at=s2" in got for got in w.servers[2].heard)
+    numbers = w.relay.facade.balancer.servers
+    assert numbers[w.relay.facade.numbers["s2"]].held == 5
+
+
+@pytest.mark.parametrize(
+    ("said", "load", "how"),
+    [(b"LOAD 125.5\r\n", 125.5, "reset"), (b"BYE\r\n", None, "ok"), (b"MOVE\r\n", None, "moved")],
+)
+def test_what_a_server_says_on_an_open_connection_feeds_the_module(world, monkeypatch, said, load, how):
+    w = world("up")
+    ends: list[str] = []
+    report = w.relay.facade.report
+    monkeypatch.setattr(w.relay.facade, "report", lambda i, end: (ends.append(end), report(i, end)))
+    (consumer,) = w.up()
+    w.servers[0].say(said)
+    w.until(lambda: said in consumer.got)
+    if load is not None:
+        assert next(iter(w.relay.facade.balancer.jobs.values())).load == load
+    w.servers[0].live[0].close()
+    w.until(lambda: not w.relay.live)
+    assert ends == ["up", how] and bytes(consumer.got).endswith(said)
+
+
+# --- NATS -------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("data", "verb", "size"),
+    [
+        (b"PING\r\n", b"PING", 6),
+        (b"ping\r\nPONG\r\n", b"PING", 6),
+        (b"pUb a.b 5\r\nhello\r\n", b"PUB", 18),
+        (b"PUB a.b reply 5\r\nhello\r\n", b"PUB", 24),
+        (b"PUB a 9\r\n\r\nPING\r\n!\r\n", b"PUB", 20),
+        (b"PUB a 9\r\nshort", b"PUB", 20),
+        (b"HPUB a 12 17\r\nNATS/1.0\r\n\r\nhello\r\n", b"HPUB", 33),
+        (b"SUB\ta\t1\r\n", b"SUB", 9),
+        (b"SUB a q 1\r\n", b"SUB", 11),
+        (b"UNSUB 1 5\r\n", b"UNSUB", 11),
+        (b'CONNECT {"a":1}\r\n', b"CONNECT", 17),
+        (b"PUB a", None, 0),
+        (b"", None, 0),
+    ],
+)
+def test_client_operations(data, verb, size):
+    op = nats.parse_op(buffer(data), 0, nats.FROM_CLIENT, nats.CONTROL_LINE, 1 << 20)
+    assert (op and op.verb, op.size if op else 0) == (verb, size)
+
+
+@pytest.mark.parametrize(
+    ("data", "text"),
+    [
+        (b"NOPE\r\n", "Unknown Protocol Operation"),
+        (b"\r\n", "Unknown Protocol Operation"),
+        (b"MSG a 1 5\r\n", "Unknown Protocol Operation"),
+        (b"PUB a\r\n", "Parser Error"),
+        (b"PUB a x\r\n", "Parser Error"),
+        (b"PUB a -1\r\n", "Parser Error"),
+        (b"PUB a b c 5\r\n", "Parser Error"),
+        (b"HPUB a 9 5\r\n", "Parser Error"),
+        (b"SUB a\r\n", "Parser Error"),
+        (b"PUB a 2000000\r\n", "Maximum Payload Violation"),
+        (b"SUB " + b"x" * 5000, "Maximum Control Line Exceeded"),
+        (b"SUB " + b"x" * 5000 + b"\r\n", "Maximum Control Line Exceeded"),
+    ],
+)
+def test_operations_that_break_the_protocol(world, data, text):
+    with pytest.raises(nats.ProtocolError, match=text):
+        nats.parse_op(buffer(data), 0, nats.FROM_CLIENT, nats.CONTROL_LINE, 1 << 20)
+    w = world("up", wire="nats")
+    (consumer,) = w.up()
+    consumer.say(data)
+    w.until(lambda: consumer.ended_at and not w.relay.live)
+    assert bytes(consumer.got).endswith(b"-ERR '%s'\r\n" % text.encode())
+    assert w.servers[0].heard[0].endswith(b"PING\r\nPING\r\n")
+
+
+@pytest.mark.parametrize(
+    ("opening", "answer"),
+    [
+        (b"PING\r\n", b"PONG\r\n"),
+        (b"SUB a 1\r\n", b"-ERR 'Authorization Violation'\r\n"),
+        (b'CONNECT {"user":"who"}\r\n', b"-ERR 'Authorization Violation'\r\n"),
+        (b"CONNECT [1]\r\n", b"-ERR 'Parser Error'\r\n"),
+        (b"GET / HTTP/1.1\r\n", b"-ERR 'Unknown Protocol Operation'\r\n"),
+        (b'connect {"user":"tech","verbose":true}\r\n', b"+OK\r\n"),
+    ],
+)
+def test_the_greeting(world, opening, answer):
+    w = world("silent", wire="nats")
+    w.words = w.words | {"open": lambda n, klass: opening}
+    consumer = w.consumer()
+    w.until(lambda: bytes(consumer.got).endswith(answer))
+    head, line = bytes(consumer.got).split(b"\r\n")[:2]
+    assert head.startswith(b"INFO {") and json.loads(head[5:])["max_payload"] == 1 << 20
+    assert line + b"\r\n" == answer
+
+
+@pytest.mark.parametrize(
+    ("said", "passed"),
+    [
+        (b"PONG\r\nPONG\r\n", b"PONG\r\n"),  # the first answers our own PING
+        (b'PONG\r\nINFO {"connect_urls":["10.0.0.1:4222"]}\r\n+OK\r\n', b"+OK\r\n"),
+        (b"PONG\r\nMSG a 1 8\r\nPONG\r\n!!\r\n", b"MSG a 1 8\r\nPONG\r\n!!\r\n"),
+    ],
+)
+def test_what_is_for_us_does_not_reach_the_consumer(said, passed):
+    out = nats.ClientOps(1 << 20)
+    out.spoken()
+    into = nats.ServerOps(1 << 20, out.pings)
+    inbox = buffer(said)
+    size = into.release(inbox, 0)
+    assert inbox.take(size) == passed and not len(inbox)
+
+
+def test_a_lame_server_sends_its_consumer_to_another_place(world):
+    w = world("up", wire="nats")
+    (consumer,) = w.up()
+    w.servers[0].say(b'MSG a 1 2\r\nhi\r\nINFO {"ldm":true,"connect_urls":["10.0.0.1:4222"]}\r\n')
+    w.until(lambda: consumer.ended_at and not w.relay.live)
+    assert consumer.has("moved") and b"connect_urls" not in consumer.got
+    assert bytes(consumer.got).index(b"hi\r\n") < bytes(consumer.got).index(b'"ldm":true')
+
+
+def test_our_own_pings_keep_a_quiet_consumer_placed(world):
+    w = world("up", wire="nats")
+    (consumer,) = w.up()
+    w.until(lambda: w.servers[0].heard[0].count(b"PING") == 3)
+    w.run(0.1)
+    assert bytes(consumer.got).count(b"PONG") == 1 and not consumer.ended_at
+
+
+# --- health -----------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("state", "line", "status"),
+    [("ready", b"up ready\n", b"200"), ("draining", b"drain\n", b"503"), ("empty list", b"down\n", b"503")],
+)
+def test_health_is_told_in_both_ways(world, state, line, status):
+    w = world(*(["up"] if state != "empty list" else []))
+    if state == "draining":
+        w.relay.draining = True
+    for listener, opening, answer in (
+        ("agent", b"", line),
+        ("health", b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 " + status),
+        ("health", b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 404"),
+        ("health", b"POST /healthz HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 405"),
+        ("health", b"\0nonsense\r\n\r\n", b"HTTP/1.1 400"),
+    ):
+        w.address = w.addresses[listener]
+        w.words = w.words | {"open": lambda n, klass, opening=opening: opening}
+        asker = w.consumer()
+        w.until(lambda asker=asker: asker.ended_at)
+        assert bytes(asker.got).startswith(answer)
+
+
+# --- the directory ----------------------------------------------------------------------------------------
+
+ROW = {"instanceId": "s1", "hostPort": "127.0.0.1:5", "zone": "z", "machineType": "k", "lifecycle": "Ready"}
+
+
+@pytest.mark.parametrize(
+    "doc",
+    [
+        [],
+        {"instances": 5},
+        {"instances": [5]},
+        {"instances": [{}]},
+        {"instances": [ROW | {"lifecycle": "Odd"}]},
+        {"instances": [ROW | {"weight": "x"}]},
+        {"instances": [ROW], "generation": "x"},
+    ],
+)
+def test_a_bad_list_is_told_from_a_good_one(doc):
+    with pytest.raises(ConfigError, match=r"list|settings"):
+        read_listing(doc, config(), {})
+
+
+def test_a_list_is_read_by_position_and_on_our_clock():
+    numbers: dict[str, int] = {}
+    doc = {
+        "generation": 4,
+        "reset": True,
+        "instances": [ROW | {"startedAtMs": 0}, ROW | {"instanceId": "s2"}],
+    }
+    found = read_listing(doc, config(), numbers)
+    assert (found.kind, found.version, len(found.rows), numbers) == ("full", 4, 2, {"s1": 1, "s2": 2})
+    assert found.rows[0].started == 0 and found.addresses["s2"] == "127.0.0.1:5"
+    started = read_listing({"instances": [ROW | {"startedAtMs": time.time() * 1000}]}, config(), numbers)
+    assert abs(started.rows[0].started - clock()) < SECOND // 10 and started.kind == "changes"
+
+
+def test_the_watch_goes_on_from_the_list_known_without_a_gap(world):
+    w = world("up")
+    w.until(lambda: w.calls)
+    assert "since=1&" in w.calls[0][1]
+    w.tell(s0={"lifecycle": "Terminating"})
+    told = clock()
+    w.until(lambda: len(w.calls) == 2)
+    assert "since=2&" in w.calls[1][1] and w.calls[1][0] - told < 200 * MS
+
+
+@pytest.mark.parametrize("bad", [b"[1]", b"{nonsense", b'{"instances":[{}]}'])
+def test_a_bad_answer_leaves_the_list_and_counts_as_a_failed_call(world, bad):
+    w = world("up")
+    w.bad = bad
+    w.until(lambda: w.relay.facade.balancer.list_failures)
+    assert w.relay.facade.ready == 1
+    w.up()
+    w.bad = None
+    w.until(lambda: w.relay.facade.balancer.subscribed or w.calls[-1][0] > w.calls[0][0])
+
+
+# --- configuration and command line -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("text", ["", "5000", ":5000", "h:", "h:x", "h:70000"])
+def test_a_bad_address_is_refused(text):
+    with pytest.raises(ValueError, match="HOST:PORT"):
+        parse_address(text)
+
+
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        (b"{", "JSON"),
+        (b"[]", "object"),
+        (b'{"settings":{}}', "request class"),
+        (b'{"seed":"xyz"}', "request class"),
+        (json.dumps({"settings": SETTINGS, "seed": "xyz"}).encode(), "seed"),
+        (json.dumps({"settings": SETTINGS, "listen": 5}).encode(), "listen"),
+        (json.dumps({"settings": SETTINGS, "listen": "here"}).encode(), "listen"),
+        (json.dumps({"settings": SETTINGS | {"lanes": [LANE | {"aim": "x"}]}}).encode(), "aim"),
+    ],
+)
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, text, word):
+    path = tmp_path / "config.json"
+    path.write_bytes(text)
+    done = subprocess.run(
+        [sys.executable, "-m", "arrowseam", "check-config", "--config", str(path)],
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 1 and not done.stdout
+    assert word in done.stderr and done.stderr.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"{",
+        b"[]",
+        b"{}",
+        b'{"listen":"x"}',
+        b'{"listen":"127.0.0.1:1","users":{"a":{"class":"odd"}}}',
+        b'{"listen":"127.0.0.1:1","default":{"class":"tech","tenant":"odd"}}',
+        b'{"listen":"127.0.0.1:1","servers":{"s":"nowhere"}}',
+    ],
+)
+def test_a_bad_nats_file_is_refused(text):
+    with pytest.raises(ConfigError, match="nats"):
+        nats.read_nats_config(text, config())
+
+
+def test_the_program_serves_and_ends_on_sigterm(tmp_path: Path):
+    """The whole program, as it is started: answers PING, and exits when it has nothing left."""
+    with socket.create_server(("127.0.0.1", 0)) as spare:
+        port = spare.getsockname()[1]
+    path = tmp_path / "config.json"
+    path.write_text(
+        json.dumps(
+            {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS}
+        )
+    )
+    child = subprocess.Popen(
+        [sys.executable, "-m", "arrowseam", "serve", "--config", str(path)], stderr=subprocess.PIPE
+    )
+    assert child.stderr is not None and b"listens" in child.stderr.readline()
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as asker:
+        asker.sendall(b"PING\r\n")
+        assert asker.recv(100) == b"PONG\r\n"
+        child.terminate()
+    assert child.wait(timeout=10) == 0
+    assert b"drained" in child.stderr.read()
+    child.stderr.close()
