--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -58,25 +58,8 @@
     """A backend as this relay knows it."""
 
     __slots__ = (
-        "cell",
-        "entry",
-        "held",
-        "id",
-        "listed",
-        "load",
-        "open",
-        "probers",
-        "reported",
-        "reported_at",
-        "share",
-        "slow_at",
-        "started",
-        "state",
-        "strikes",
-        "struck_at",
-        "tokens",
-        "tokens_at",
-        "zone",
+        "cell", "entry", "held", "id", "listed", "load", "open", "probers", "reported", "reported_at",
+        "share", "slow_at", "started", "state", "strikes", "struck_at", "tokens", "tokens_at", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.Backend) -> None:
@@ -107,24 +90,8 @@
     """A request from its arrival until its last attempt has ended."""
 
     __slots__ = (
-        "answered",
-        "attempts",
-        "deadline",
-        "fresh",
-        "id",
-        "key",
-        "klass",
-        "load",
-        "looks",
-        "mid_flow",
-        "open",
-        "pending",
-        "picks",
-        "ran_at",
-        "ran_on",
-        "server",
-        "tenant",
-        "tried",
+        "answered", "attempts", "deadline", "fresh", "group", "id", "key", "klass", "load", "looks",
+        "mid_flow", "open", "pending", "picks", "ran_at", "ran_on", "server", "tenant", "tried",
     )  # fmt: skip
 
     def __init__(self, request: api.Request, now: int, load: float) -> None:
@@ -132,6 +99,7 @@
         self.klass = request.klass
         self.tenant = request.tenant
         self.key = request.key
+        self.group = request.group
         self.mid_flow = request.mid_flow
         self.deadline = now + max(0, request.time_left)
         self.attempts = 0
@@ -188,6 +156,14 @@
 PROBING = 0.03  # a second, of that load, besides
 LEAST = 0.25  # of that load: what is left shows whether messages are in time again
 SLOW_LIFE = 3 * SECOND // 2  # slow notes come once a second
+# What is known of a backend's load without being told: what this relay holds there, times the relays, beside
+# its share of what the fleet takes. Tenants' quotas add up to about this part of that; a group costs so many
+# connections.
+QUOTA_PART = 0.82
+GROUP_COST = 3.0  # two mean loads for each, and other relays hold groups there that this one does not
+LEVEL_SHARE = 0.1  # of the connections held there, moved at a time, once a second
+LEVEL_DOUBT = 1.0  # standard deviations
+SPARE = 0.8  # with more of the fleet taken than this there is no better place to move to
 CROSSING = 0.02  # price of a crossing at which other zones keep 1/e of their share
 
 
@@ -234,6 +210,8 @@
         self.window_at = self.cut_at = -(1 << 62)
         fields = settings.report_fields
         self.report_field = fields.index("x0") if settings.limits.probing and "x0" in fields else -1
+        self.level_at = 0
+        self.capacity = sum(t.connections for t in settings.tenants) / QUOTA_PART  # connections, all relays'
         self.probe_tokens = 0.0
         self.probing: dict[int, Job] = {}  # requests that wait for probes
         self.subscribed = False
@@ -269,6 +247,9 @@
             if handler is None:
                 raise api.UsageError(f"not an event: {event!r}")
             handler(event)  # type: ignore[operator]
+        if now - self.level_at >= SECOND and not self.settings.tells_delay:
+            self.level_at = now
+            self._level()
         return self.out
 
     def _log(self, text: str) -> None:
@@ -769,9 +750,9 @@
             self.window_at = self.now
         return self.window
 
-    def _thin(self, server: Server) -> None:
+    def _thin(self, server: Server, share: float = MOVE_SHARE) -> None:
         """Move part of the connections this relay holds at an overfull backend."""
-        leave = int(MOVE_SHARE * len(server.open) + self.random())
+        leave = int(share * len(server.open) + self.random())
         for _ in range(leave):
             numbers = list(server.open)
             picks = [numbers[int(self.random() * len(numbers))] for _ in range(2)]
@@ -779,6 +760,27 @@
             self._closed(number, server)
             self.out.append(api.Move(number))
 
+    def _level(self) -> None:
+        """Move some of what stands on a backend that by its weight must carry more than it can.
+
+        Guards against a crowd on one backend where nobody tells that messages are slow there: sockets do not.
+        """
+        if self.changed:
+            self._reweigh()
+        relays, listed = self.settings.relays, sum(s.listed for s in self.ready)
+        if self._strain() > 0.0:
+            return  # set-ups fail: who leaves now may not get in again
+        if self.load <= 0.0 or not 0.0 < relays * self.connections < SPARE * self.capacity or not listed:
+            return
+        mean = self.load / self.connections
+        for server in list(self.serving.values()):
+            groups = {self.jobs[n].group for n in server.open} - {0} if self.settings.groups else ()
+            # By chance a relay holds more here than the others do: only what is beyond that counts.
+            sure = server.load - LEVEL_DOUBT * math.sqrt(sum(self.jobs[n].load ** 2 for n in server.open))
+            held = relays * sure / mean + GROUP_COST * len(groups)
+            if len(server.open) > 1 and held > self.capacity * server.listed / listed:
+                self._thin(server, LEVEL_SHARE)
+
     def _burden(self, number: int) -> float:
         job = self.jobs[number]
         return job.load / max(1e-9, self.settings.classes[job.klass].worth)
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -14,7 +14,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Generator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, TypeAlias
 
 from arrowseam import api
@@ -79,7 +79,8 @@
         if not isinstance(doc, dict):
             raise WireError("configuration: not a JSON object")
         raw = _table(doc, "settings")
-        settings = parse_settings(json.dumps(raw).encode())
+        # Neither wire of ours says that messages are slow at a server: the module must not wait to be told.
+        settings = replace(parse_settings(json.dumps(raw).encode()), tells_delay=False)
         limits = _table(doc, "limits")
         texts = {key: doc.get(key, "") for key in ("name", "listen", "discovery", "seed")}
         for key, value in texts.items():
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -312,3 +312,15 @@
     second = sends(clock.step(ended(first, api.Outcome.FULL), after=1000))[0]
     (answer,) = clock.step(ended(second, api.Outcome.FULL, 1), after=1000)
     assert isinstance(answer, api.Refuse) and answer.retry_after > 0
+
+
+@pytest.mark.parametrize(("tells", "leave"), [(False, True), (True, False)])
+def test_a_crowd_on_one_backend_is_thinned_where_slow_messages_are_not_told(tells: bool, leave: bool) -> None:
+    """fleet-1 on sockets: a third of all connections stood on one small backend, none served in time."""
+    tenants = (api.Tenant(share=1.0, connections=80.0),)
+    clock = Clock(relay(backends(5), tenants=tenants, relays=2, tells_delay=tells))
+    for n in range(30):
+        clock.step(api.Adopted(ask(n, load=10.0), 100 + (n % 5 if n > 20 else 0)))
+    left = {m.request for _ in range(3) for m in moves(clock.step(api.Timer(0), after=SECOND))}
+    assert bool(left) is leave
+    assert all(n <= 20 or n % 5 == 0 for n in left) and len(left) < 15
