--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -275,6 +275,9 @@
 
     def call(self, server_name: str, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
         address = self.front.nats.address(server_name, address)
+        if address == self.front.nats.listen:
+            # Guards against a loop through ourselves, seen with a server port that was our own.
+            return "unreachable"
         connect_due = min(due, clock() + self.front.connect_timeout)
         server = yield from self.front.loop.connect(address, connect_due, stop)
         if server is None:
--- a/tests/network.py
+++ b/tests/network.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import re
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -18,7 +19,6 @@
 from arrowseam.net.loop import SECOND, Conn, Loop, Steps, clock
 from arrowseam.net.nats import read_nats_config
 
-PORT = 0
 LANE = {"aim": 300000, "deadline": 1800000, "effect": "retryable", "name": "tech"}
 SETTINGS: dict[str, Any] = {
     "balancers": 1,
@@ -53,6 +53,12 @@
 LANE_MS = {b"tech": 1800, b"resident": 600}
 
 
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as spare:
+        port: int = spare.getsockname()[1]
+        return port
+
+
 class Server:
     """A stand-in server. ``mode`` says how it answers a first line: up, busy, error, reset, silent (takes it
     and says nothing), half (stalls midway through its greeting), or deaf (says nothing after UP)."""
@@ -165,7 +171,12 @@
         }  # fmt: skip
         self.config = read_config(json.dumps(doc).encode())
         place = {user: {"class": user, "tenant": "acme"} for user in ("tech", "resident")}
-        nats = {"listen": "127.0.0.1:0", "users": place, "health": "127.0.0.1:0", "agent": "127.0.0.1:0"}
+        nats: dict[str, Any] = {
+            "listen": f"127.0.0.1:{free_port()}",
+            "users": place,
+            "health": "127.0.0.1:0",
+            "agent": "127.0.0.1:0",
+        }
         nats["servers"] = {row["instanceId"]: row["hostPort"] for row in rows}
         self.second = read_nats_config(json.dumps(nats).encode(), self.config)
         self.relay = wire_up(self.loop, self.config, self.second)
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import pytest
-from network import LANE, SETTINGS, World
+from network import LANE, SETTINGS, World, free_port
 
 from arrowseam.facade import ConfigError, read_config, read_listing
 from arrowseam.net import lines, nats
@@ -280,6 +280,15 @@
     assert bytes(consumer.got).index(b"hi\r\n") < bytes(consumer.got).index(b'"ldm":true')
 
 
+def test_a_server_address_that_is_our_own_is_not_called(world):
+    """Seen with the example: each call came back in as a consumer, five hundred of them in a moment."""
+    w = world("up", wire="nats")
+    w.second.overrides["s0"] = w.second.listen
+    consumer = w.consumer()
+    w.until(lambda: consumer.ended_at)
+    assert consumer.has("rejected") and w.relay.count == 1
+
+
 def test_our_own_pings_keep_a_quiet_consumer_placed(world):
     w = world("up", wire="nats")
     (consumer,) = w.up()
@@ -423,8 +432,7 @@
 
 def test_the_program_serves_and_ends_on_sigterm(tmp_path: Path):
     """The whole program, as it is started: answers PING, and exits when it has nothing left."""
-    with socket.create_server(("127.0.0.1", 0)) as spare:
-        port = spare.getsockname()[1]
+    port = free_port()
     path = tmp_path / "config.json"
     path.write_text(
         json.dumps(
