--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -162,7 +162,7 @@
 QUOTA_PART = 0.82
 GROUP_COST = 3.0  # two mean loads for each, and other relays hold groups there that this one does not
 LEVEL_SHARE = 0.1  # of the connections held there, moved at a time, once a second
-LEVEL_DOUBT = 0.5  # standard deviations
+LEVEL_DOUBT = 1.0  # standard deviations
 SPARE = 0.8  # with more of the fleet taken than this there is no better place to move to
 CROSSING = 0.02  # price of a crossing at which other zones keep 1/e of their share
 
