Answer every taken connection when descriptors run out; no hot loop on EMFILE

Seen in review: with the spare descriptor used the listener stayed ready and the loop span, logging each time (loop.py, Listener.accept). It now waits for a connection to end; while the spare is in use new ones are refused at once; the process's own limit counts as well as the configured one. Tested with 64 and 20 descriptors and 100 connections.

--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -15,6 +15,7 @@
 import errno
 import heapq
 import os
+import resource
 import select
 import signal
 import socket
@@ -259,7 +260,7 @@
         self.ready: deque[Task] = deque()
         self.timers: list[tuple[int, int, Task]] = []
         self.count = 0
-        self.sockets = sockets
+        self.sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.current: Task | None = None
         self.turn: Callable[[int], int | None] = lambda now: None
         self.stopped = False
@@ -286,7 +287,7 @@
 
         A placed connection takes two; the rest is for the directory, the log and calls under way.
         """
-        return len(self.conns) + 24 + self.sockets // 32 >= self.sockets
+        return self.spare < 0 or len(self.conns) + 24 + self.sockets // 32 >= self.sockets
 
     def dial(self, address: Address, limit: int = 16384) -> Conn | None:
         """Begin to connect for the running coroutine; None if that fails at once."""
@@ -413,6 +414,7 @@
         self.sock.bind(address)
         self.sock.listen(1024)
         self.sock.setblocking(False)
+        self.waiting = False
         self.address: Address = self.sock.getsockname()[:2]
         task = loop.spawn(self._run(), f"{name} listener")
         loop.conns[self.sock.fileno()] = task
@@ -432,13 +434,16 @@
             except ConnectionAbortedError:
                 continue
             except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE) or self.loop.spare < 0:
-                    log(f"{self.name} listener: {error}")
-                    return
-                # The spare descriptor makes room to answer this one; it is taken back when there is room.
-                os.close(self.loop.spare)
-                self.loop.spare = -1
-                continue
+                if error.errno in (errno.EMFILE, errno.ENFILE) and self.loop.spare >= 0:
+                    # The spare descriptor makes room to answer this one; it is taken back when there is room.
+                    os.close(self.loop.spare)
+                    self.loop.spare = -1
+                    continue
+                # Not asked again before a connection has ended: guards against a loop that does nothing else.
+                self.waiting = True
+                self.loop.epoll.modify(self.sock.fileno(), 0)
+                log(f"{self.name} listener: {error}; waiting for a connection to end")
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = self.loop.spawn(iter(()), self.name)  # type: ignore[arg-type]
             conn = Conn(self.loop, sock, task)
@@ -451,7 +456,15 @@
         finally:
             conn.close()
             if self.loop.spare < 0:
-                self.loop.spare = os.open("/dev/null", os.O_RDONLY)
+                with contextlib.suppress(OSError):
+                    self.loop.spare = os.open("/dev/null", os.O_RDONLY)
+            for listener in self.loop.listeners:
+                listener.again()
+
+    def again(self) -> None:
+        if self.waiting and self.sock.fileno() >= 0:
+            self.waiting = False
+            self.loop.epoll.modify(self.sock.fileno(), select.EPOLLIN)
 
     def close(self) -> None:
         if self.sock.fileno() >= 0:
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -430,23 +431,47 @@
         nats.read_nats_config(text, config())
 
 
-def test_the_program_serves_and_ends_on_sigterm(tmp_path: Path):
-    """The whole program, as it is started: answers PING, and exits when it has nothing left."""
+@contextmanager
+def program(folder: Path, descriptors: int = 1024) -> Iterator[tuple[subprocess.Popen[bytes], int]]:
+    """The whole program, as it is started, with no server known."""
     port = free_port()
-    path = tmp_path / "config.json"
-    path.write_text(
-        json.dumps(
-            {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS}
-        )
-    )
+    path = folder / "config.json"
+    doc = {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS}
+    path.write_text(json.dumps(doc))
     child = subprocess.Popen(
-        [sys.executable, "-m", "arrowseam", "serve", "--config", str(path)], stderr=subprocess.PIPE
+        [
+            "/bin/sh",
+            "-c",
+            f"ulimit -n {descriptors}; exec {sys.executable} -m arrowseam serve --config {path}",
+        ],
+        stderr=subprocess.PIPE,
     )
     assert child.stderr is not None and b"listens" in child.stderr.readline()
-    with socket.create_connection(("127.0.0.1", port), timeout=5) as asker:
-        asker.sendall(b"PING\r\n")
-        assert asker.recv(100) == b"PONG\r\n"
-        child.terminate()
-    assert child.wait(timeout=10) == 0
-    assert b"drained" in child.stderr.read()
-    child.stderr.close()
+    try:
+        yield child, port
+    finally:
+        child.kill()
+        child.wait()
+        child.stderr.close()
+
+
+def test_the_program_serves_and_ends_on_sigterm(tmp_path: Path):
+    with program(tmp_path) as (child, port):
+        with socket.create_connection(("127.0.0.1", port), timeout=5) as asker:
+            asker.sendall(b"PING\r\n")
+            assert asker.recv(100) == b"PONG\r\n"
+            child.terminate()
+        assert child.wait(timeout=10) == 0
+        assert child.stderr is not None and b"drained" in child.stderr.read()
+
+
+@pytest.mark.parametrize("descriptors", [64, 20])
+def test_every_connection_taken_is_answered_when_descriptors_run_out(tmp_path: Path, descriptors: int):
+    """64: refused early, while there are some left. 20: the spare one alone is left to answer with."""
+    with program(tmp_path, descriptors) as (_, port):
+        askers = [socket.create_connection(("127.0.0.1", port), timeout=5) for _ in range(100)]
+        for n, asker in enumerate(askers):
+            asker.sendall(b"OPEN %016x 0a c=resident,t=acme,d=600\r\n" % n)
+        for asker in askers:
+            assert asker.recv(100).startswith((b"BUSY", b"ERR"))
+            asker.close()
