One base for both fronts' consumers; a slow consumer is no sign of a mute server

Seen in review: lines.py and nats.py held the same call, farewell and close; they are the core's now (relay.py, Consumer). On NATS our own PING could wait behind a half-sent message, and a loop that had nothing to do asked itself again at once (nats.py, look_at); it now waits for the message's end, shown by a test.

--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -12,7 +12,7 @@
 
 from arrowseam.facade import Config, Facade, Invocation
 from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Framer, Loop, Passage, Steps, clock
-from arrowseam.relay import REJECT_MS, Relay
+from arrowseam.relay import REJECT_MS, Consumer, Relay
 
 LINE_MAX = 4096
 FIRST_LINE = 10 * SECOND  # a connection that says nothing for so long is closed
@@ -123,31 +123,13 @@
         return known
 
 
-class LineConsumer:
-    """One consumer, and the call that is under way for it or the server that took it."""
-
-    def __init__(self, loop: Loop, conn: Conn, opening: Opening) -> None:
-        self.loop, self.conn, self.opening = loop, conn, opening
-        self.passage: Passage | None = None
+class LineConsumer(Consumer):
+    def __init__(self, loop: Loop, conn: Conn, connect_timeout: int, opening: Opening) -> None:
+        super().__init__(loop, conn, connect_timeout)
+        self.opening = opening
         self.said = ServerLines()
 
-    def call(self, server_name: str, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
-        began = clock()
-        connect_due = min(due, began + self.connect_timeout)
-        server = yield from self.loop.connect(address, connect_due, stop)
-        if server is None:
-            return "off" if stop() else "timeout" if clock() >= due > connect_due else "unreachable"
-        end = "reset"
-        try:
-            end = yield from self._ask(server, due, stop)
-        finally:
-            if end != "up":
-                server.close()  # before anything else is tried for this invocation
-        return end
-
-    connect_timeout = 250 * MS
-
-    def _ask(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
+    def greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
         wait_ms = max(1, (due - clock()) // MS)
         if not (yield from server.send(self.opening.onward(wait_ms), due)):
             # Its last byte was not written, so it has never run.
@@ -188,43 +170,18 @@
             return "left"
         return {b"BYE": "ok", b"MOVE": "moved"}.get(self.said.last, "reset")
 
-    def mute_since(self) -> int | None:
-        return self.passage.asked_at if self.passage else None
-
-    def look_at(self) -> int | None:
-        return None
-
     def loads(self) -> list[float]:
         told, self.said.loads = self.said.loads, []
         return told
 
-    def farewell(self, due: int) -> Steps[None]:
-        if self.passage is not None:
-            yield from self.passage.farewell(b"MOVE\r\n", due)
-            self.passage.server.close()
-        yield from self.conn.part(due)
-
-    def finish(self, due: int) -> Steps[None]:
-        if self.passage is not None:
-            yield from self.passage.finish(due)
-        else:
-            yield from self.conn.part(due)
-
-    def close(self) -> None:
-        if self.passage is not None:
-            self.passage.server.close()
-        self.conn.close()
-
-    def _last_line(self, line: bytes) -> Steps[None]:
-        due = clock() + SECOND // 2
-        yield from self.conn.send(line, due)
-        yield from self.conn.part(due)
+    def last_word(self) -> bytes:
+        return b"MOVE\r\n"
 
     def reject(self, retry_ms: int) -> Steps[None]:
-        yield from self._last_line(rejection_line(retry_ms))
+        yield from self.answer(rejection_line(retry_ms))
 
     def fail(self) -> Steps[None]:
-        yield from self._last_line(b"ERR\r\n")
+        yield from self.answer(b"ERR\r\n")
 
 
 class LineFront:
@@ -232,7 +189,6 @@
 
     def __init__(self, loop: Loop, config: Config, relay: Relay) -> None:
         self.loop, self.config, self.relay = loop, config, relay
-        LineConsumer.connect_timeout = config.settings.limits.connect_timeout or 250 * MS
 
     def serve(self, conn: Conn) -> Steps[None]:
         if self.loop.scarce:
@@ -256,7 +212,7 @@
             yield from conn.send(b"ERR\r\n", clock() + SECOND)
             yield from conn.part(clock() + SECOND // 2)
             return
-        consumer = LineConsumer(self.loop, conn, opening)
+        consumer = LineConsumer(self.loop, conn, self.config.settings.limits.connect_timeout, opening)
         invocation.left = lambda: conn.left
         yield from self.relay.serve(invocation, consumer)
 
--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -18,7 +18,6 @@
 from arrowseam.benchlink import WireError, _number, _table
 from arrowseam.facade import Config, ConfigError, Invocation
 from arrowseam.net.loop import (
-    MS,
     SECOND,
     Address,
     Buffer,
@@ -30,7 +29,7 @@
     clock,
     parse_address,
 )
-from arrowseam.relay import REJECT_MS, Relay
+from arrowseam.relay import REJECT_MS, Consumer, Relay
 
 CONTROL_LINE = 4096  # longest control line, without its end, that a client may send
 SERVER_LINE = 32768  # servers' INFO may be longer
@@ -263,35 +262,22 @@
 # --- the front --------------------------------------------------------------------------------------------
 
 
-class NatsConsumer:
-    """One consumer, with its CONNECT, and the call that is under way for it or the server that took it."""
+class NatsConsumer(Consumer):
+    early = EARLY_MAX
 
     def __init__(self, front: NatsFront, conn: Conn, connect: bytes) -> None:
-        self.front, self.conn, self.connect = front, conn, connect
+        super().__init__(front.loop, conn, front.config.settings.limits.connect_timeout)
+        self.front, self.connect = front, connect
         self.verbose = bool(parse_object(connect).get("verbose", False))
-        self.passage: Passage | None = None
         self.out: ClientOps | None = None
         self.into: ServerOps | None = None
 
-    def call(self, server_name: str, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
-        address = self.front.nats.address(server_name, address)
-        if address == self.front.nats.listen:
-            # Guards against a loop through ourselves, seen with a server port that was our own.
-            return "unreachable"
-        connect_due = min(due, clock() + self.front.connect_timeout)
-        server = yield from self.front.loop.connect(address, connect_due, stop)
-        if server is None:
-            return "off" if stop() else "timeout" if clock() >= due > connect_due else "unreachable"
-        server.inbox.limit = EARLY_MAX
-        end = "reset"
-        try:
-            end = yield from self._greet(server, due, stop)
-        finally:
-            if end != "up":
-                server.close()  # before anything else is tried for this invocation
-        return end
+    def address(self, server_name: str, address: Address) -> Address | None:
+        found = self.front.nats.address(server_name, address)
+        # Guards against a loop through ourselves, seen with a server port that was our own.
+        return None if found == self.front.nats.listen else found
 
-    def _greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
+    def greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
         """Await all of INFO, say CONNECT and PING; PONG means that the server has taken the consumer."""
         sent = False
         while True:
@@ -340,8 +326,10 @@
     def step(self) -> str | None:
         passage, out, into = self.passage, self.out, self.into
         assert passage is not None and out is not None and into is not None
-        if clock() - passage.heard_at >= ASK_AFTER and passage.asked_at is None and not passage.own:
-            passage.own = b"PING\r\n"
+        quiet = clock() - passage.heard_at >= ASK_AFTER and passage.asked_at is None
+        # Not in the middle of what the consumer is sending: a slow consumer is no sign of a mute server.
+        if quiet and not passage.own and not passage.out_due and not out.mid:
+            passage.own, passage.asked_at = b"PING\r\n", clock()
         end = passage.step()
         if end is None and into.lame:
             return "moved"
@@ -352,49 +340,28 @@
         return {None: None, "consumer": "left", "server": "reset"}[end]
 
     def look_at(self) -> int | None:
-        return self.passage.heard_at + ASK_AFTER if self.passage and self.passage.asked_at is None else None
-
-    def mute_since(self) -> int | None:
-        return self.passage.asked_at if self.passage else None
-
-    def loads(self) -> list[float]:
-        return []  # NATS servers tell no load
+        if self.passage is None or self.passage.asked_at is not None:
+            return None
+        return max(self.passage.heard_at + ASK_AFTER, clock() + ASK_AFTER // 10)
 
-    def farewell(self, due: int) -> Steps[None]:
-        """Lame duck: the consumer is told to look for another server, then both sides are closed."""
-        if self.passage is not None:
-            yield from self.passage.farewell(self.front.info(ldm=True), due)
-            self.passage.server.close()
-        yield from self.conn.part(due)
+    def last_word(self) -> bytes:
+        """Lame duck: the consumer is told to look for another server."""
+        return self.front.info(ldm=True)
 
     def finish(self, due: int) -> Steps[None]:
         if self.into is not None and self.into.lame:
             yield from self.farewell(due)
-        elif self.passage is not None and self.out is not None and self.out.error:
-            yield from self.passage.farewell(error_line(self.out.error), due)
-            self.passage.server.close()
-            yield from self.conn.part(due)
-        elif self.passage is not None:
-            yield from self.passage.finish(due)
+        elif self.out is not None and self.out.error:
+            yield from self.farewell(due, error_line(self.out.error))
         else:
-            yield from self.conn.part(due)
-
-    def close(self) -> None:
-        if self.passage is not None:
-            self.passage.server.close()
-        self.conn.close()
-
-    def last_line(self, line: bytes) -> Steps[None]:
-        due = clock() + SECOND // 2
-        yield from self.conn.send(line, due)
-        yield from self.conn.part(due)
+            yield from super().finish(due)
 
     def reject(self, retry_ms: int) -> Steps[None]:
         # NATS has no word for 'come back later'; clients know the first part, people read the second.
-        yield from self.last_line(error_line(f"Maximum Connections Exceeded, Retry After {retry_ms} ms"))
+        yield from self.answer(error_line(f"Maximum Connections Exceeded, Retry After {retry_ms} ms"))
 
     def fail(self) -> Steps[None]:
-        yield from self.last_line(error_line("Upstream Failed"))
+        yield from self.answer(error_line("Upstream Failed"))
 
 
 class NatsFront:
@@ -402,7 +369,6 @@
 
     def __init__(self, loop: Loop, config: Config, nats: NatsConfig, relay: Relay) -> None:
         self.loop, self.config, self.nats, self.relay = loop, config, nats, relay
-        self.connect_timeout = config.settings.limits.connect_timeout or 250 * MS
         self.clients = 0
 
     def info(self, ldm: bool = False) -> bytes:
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import random
+from abc import ABC, abstractmethod
 from collections.abc import Callable
-from typing import Protocol
 
 from arrowseam.facade import Call, Config, Facade, Invocation, Left, Rejection
-from arrowseam.net.loop import MS, SECOND, Address, Loop, Steps, clock, log, parse_address
+from arrowseam.net.loop import MS, SECOND, Address, Conn, Loop, Passage, Steps, clock, log, parse_address
 
 # A server that brings nothing back for so long though it was asked is taken for lost: sound ones answer
 # within a millisecond, and a consumer that stays there is served nothing.
@@ -25,38 +25,98 @@
 DRAIN_SPARE = 1100 * MS  # by so much earlier the last consumer has been told
 
 
-class Consumer(Protocol):
-    """One consumer as its front sees it, with the call that is under way for it."""
+class Consumer(ABC):
+    """One consumer, with the call under way for it or the server that took it; a front knows its wire."""
 
-    def call(self, server_name: str, address: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
-        """Make one invoker call; 'up', or how it ended, and then it is closed."""
+    passage: Passage | None = None  # once it is established
+    early = 16384  # bytes that a server may say before it is passed through
+
+    def __init__(self, loop: Loop, conn: Conn, connect_timeout: int) -> None:
+        self.loop, self.conn = loop, conn
+        self.connect_timeout = connect_timeout or 250 * MS
+
+    # --- what a front must know ---
+
+    @abstractmethod
+    def greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        """Say what is to be said to a server that is connected; 'up' with a passage, or how it ended."""
 
+    @abstractmethod
     def step(self) -> str | None:
         """Pass on what there is. How the connection ended ('ok', 'moved', 'reset', 'left'), or None."""
 
-    def mute_since(self) -> int | None:
-        """When something was first sent to the server that it has not answered in any way."""
+    @abstractmethod
+    def last_word(self) -> bytes:
+        """What asks a consumer to come again."""
+
+    @abstractmethod
+    def reject(self, retry_ms: int) -> Steps[None]:
+        """Final answer: refused, trying again is harmless."""
+
+    @abstractmethod
+    def fail(self) -> Steps[None]:
+        """Final answer: failed."""
+
+    def address(self, server_name: str, address: Address) -> Address | None:
+        """Where this wire reaches a server; None where it does not."""
+        return address
 
     def look_at(self) -> int | None:
         """When ``step`` wants to be called though nothing has come."""
+        return None
 
     def loads(self) -> list[float]:
         """Loads told by the server since the last call."""
+        return []
+
+    # --- what holds on any wire ---
 
-    def farewell(self, due: int) -> Steps[None]:
-        """Ask the consumer to come again, between two messages."""
+    def call(self, server_name: str, found: Address, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        """Make one invoker call; 'up', or how it ended, and then it is closed."""
+        address = self.address(server_name, found)
+        if address is None:
+            return "unreachable"
+        connect_due = min(due, clock() + self.connect_timeout)
+        server = yield from self.loop.connect(address, connect_due, stop)
+        if server is None:
+            return "off" if stop() else "timeout" if clock() >= due > connect_due else "unreachable"
+        server.inbox.limit = self.early
+        end = "reset"
+        try:
+            end = yield from self.greet(server, due, stop)
+        finally:
+            if end != "up":
+                server.close()  # before anything else is tried for this invocation
+        return end
+
+    def mute_since(self) -> int | None:
+        """When something was first asked of the server that it has not answered in any way."""
+        return self.passage.asked_at if self.passage else None
+
+    def farewell(self, due: int, word: bytes = b"") -> Steps[None]:
+        """Our last word between two messages, then both sides are closed."""
+        if self.passage is not None:
+            yield from self.passage.farewell(word or self.last_word(), due)
+            self.passage.server.close()
+        yield from self.conn.part(due)
 
     def finish(self, due: int) -> Steps[None]:
         """End both sides alike."""
+        if self.passage is not None:
+            yield from self.passage.finish(due)
+        else:
+            yield from self.conn.part(due)
+
+    def answer(self, line: bytes) -> Steps[None]:
+        due = clock() + SECOND // 2
+        yield from self.conn.send(line, due)
+        yield from self.conn.part(due)
 
     def close(self) -> None:
         """Nothing of it may stay open."""
-
-    def reject(self, retry_ms: int) -> Steps[None]:
-        """Final answer: refused, trying again is harmless."""
-
-    def fail(self) -> Steps[None]:
-        """Final answer: failed."""
+        if self.passage is not None:
+            self.passage.server.close()
+        self.conn.close()
 
 
 class Relay:
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -15,6 +15,7 @@
 import pytest
 from network import LANE, SETTINGS, World, free_port
 
+from arrowseam import relay
 from arrowseam.facade import ConfigError, read_config, read_listing
 from arrowseam.net import lines, nats
 from arrowseam.net.loop import MS, SECOND, Buffer, clock, parse_address
@@ -281,6 +282,21 @@
     assert bytes(consumer.got).index(b"hi\r\n") < bytes(consumer.got).index(b'"ldm":true')
 
 
+def test_a_consumer_that_is_slow_to_send_is_no_sign_of_a_mute_server(world, monkeypatch):
+    """Our PING may not go in the middle of its message, so nothing was asked and nothing is missing."""
+    monkeypatch.setattr(nats, "ASK_AFTER", 100 * MS)
+    monkeypatch.setattr(relay, "MUTE", 100 * MS)
+    w = world("up", wire="nats")
+    (consumer,) = w.up()
+    long = b"PUB a 100000\r\n" + b"x" * 80000
+    w.loop.spawn(consumer.conn.send(long, clock() + SECOND), "half a message")
+    w.until(lambda: len(w.servers[0].heard[0]) > 50000)
+    w.run(0.5)
+    assert not consumer.ended_at
+    w.loop.spawn(consumer.conn.send(b"x" * 20000 + b"\r\n", clock() + SECOND), "the rest")
+    w.until(lambda: w.servers[0].heard[0].endswith(b"x\r\nPING\r\n"))
+
+
 def test_a_server_address_that_is_our_own_is_not_called(world):
     """Seen with the example: each call came back in as a consumer, five hundred of them in a moment."""
     w = world("up", wire="nats")
