--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -18,7 +18,7 @@
 from arrowseam import relay
 from arrowseam.facade import ConfigError, read_config, read_listing
 from arrowseam.net import lines, nats
-from arrowseam.net.loop import MS, SECOND, Buffer, clock, parse_address
+from arrowseam.net.loop import MS, SECOND, Buffer, Conn, Steps, clock, parse_address
 
 
 def buffer(data: bytes, limit: int = 8192) -> Buffer:
@@ -181,6 +181,24 @@
     assert ends == ["up", how] and bytes(consumer.got).endswith(said)
 
 
+@pytest.mark.parametrize(("said", "ok"), [(b"PONG x0=0.5,x1=2\r\n", True), (b"ERR\r\n", False), (b"", False)])
+def test_a_probe_tells_the_module_how_a_server_is(world, monkeypatch, said, ok):
+    w = world("up", telemetry={"fields": ["x1", "x0"]})
+    heard: list[bytes | None] = []
+
+    def serve(conn: Conn) -> Steps[None]:
+        heard.append((yield from conn.line(100, clock() + SECOND)))
+        yield from conn.send(said, clock() + SECOND)
+
+    w.relay.facade.addresses["s0"] = f"127.0.0.1:{w.loop.listen(('127.0.0.1', 0), 'p', serve).address[1]}"
+    events: list[Any] = []
+    monkeypatch.setattr(w.relay.facade, "_feed", events.append)
+    w.relay.probe("s0")
+    w.until(lambda: events)
+    assert heard == [b"STATS"]
+    assert (events[0].outcome == 0) is ok and events[0].report == ((2.0, 0.5) if ok else ())
+
+
 # --- NATS -------------------------------------------------------------------------------------------------
 
 
