Turn the mute away, not whoever comes next; SIGHUP reloads; strict first lines

Checked: the log showed no failed calls to explain refusals, so they came from the front. Lines at fault: LineFront.serve refused every newcomer while `scarce`, and mute openings held a descriptor for FIRST_LINE = 10 s; its PING loop never yielded to a client that sends at full speed; nothing handled SIGHUP, and each signal replaced the one wake-up pipe; int(x, 16) and isdigit let odd numbers pass on to servers. Now: openings end 2 s after connecting; when descriptors run short the oldest mute (then the answered) go first; one PING a round and 16 in all; numbers by form; ids in use are refused; a sender that goes on is heard out for up to 5 s so that its answer is not overtaken by a reset; one dispatcher by signal number; the directory is left in mid-call for the new one, which is asked for the whole list. The NATS front has the same limits.

--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import click
@@ -21,49 +22,73 @@
 from arrowseam.relay import Relay
 
 
-def load(path: str) -> Config:
-    """The configuration at ``path``, or one plain line and exit status 1."""
-    try:
-        config = read_config(Path(path).read_bytes())
-        for what, text in (("listen", config.listen), ("discovery", config.directory)):
-            try:
-                parse_address(text)
-            except ValueError as error:
-                raise ConfigError(f"configuration: {what}: {error}") from None
-        return config
-    except (OSError, ConfigError) as error:
-        print(f"arrowseam: {error}", file=sys.stderr)
-        sys.exit(1)
+def read(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
+    """The configuration, and the NATS front's file where there is one; raises ConfigError or OSError."""
+    config = read_config(Path(path).read_bytes())
+    for what, text in (("listen", config.listen), ("discovery", config.directory)):
+        try:
+            parse_address(text)
+        except ValueError as error:
+            raise ConfigError(f"configuration: {what}: {error}") from None
+    return config, nats.read_nats_config(Path(nats_path).read_bytes(), config) if nats_path else None
 
 
-def load_nats(path: str, config: Config) -> nats.NatsConfig:
+def load(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
+    """The same, or one plain line and exit status 1."""
     try:
-        return nats.read_nats_config(Path(path).read_bytes(), config)
+        return read(path, nats_path)
     except (OSError, ConfigError) as error:
         print(f"arrowseam: {error}", file=sys.stderr)
         sys.exit(1)
 
 
-def wire(loop: Loop, config: Config, second: nats.NatsConfig | None = None) -> Relay:
+class Proxy:
     """The parts of one proxy, each told of the ones it needs: one core for both fronts."""
-    facade = Facade(config, clock)
-    relay = Relay(loop, config, facade)
-    directory = Directory(loop, config, facade)
-    relay.ask = directory.ask
-    relay.probe = lambda server: loop.spawn(lines.probe(loop, facade, server, relay.address(server)), "probe")
-    front = lines.LineFront(loop, config, relay)
-    relay.listeners.append(loop.listen(parse_address(config.listen), "front", front.serve).close)
-    if second is not None:
-        nats_front = nats.NatsFront(loop, config, second, relay)
-        relay.listeners.append(loop.listen(second.listen, "nats", nats_front.serve).close)
-        health = Health(relay)
-        for address, name, answer in (
-            (second.agent, "agent", health.agent),
-            (second.health, "health", health.http),
-        ):
-            if address is not None:
-                relay.listeners.append(loop.listen(address, name, answer).close)
-    return relay
+
+    def __init__(self, loop: Loop, config: Config, second: nats.NatsConfig | None = None) -> None:
+        self.loop, self.config = loop, config
+        facade = Facade(config, clock)
+        self.relay = relay = Relay(loop, config, facade)
+        self.directory = Directory(loop, config, facade)
+        relay.ask = self.directory.ask
+        relay.probe = lambda server: loop.spawn(
+            lines.probe(loop, facade, server, relay.address(server)), "probe"
+        )
+        front = lines.LineFront(loop, config, relay)
+        relay.listeners.append(loop.listen(parse_address(config.listen), "front", front.serve).close)
+        self.nats_front: nats.NatsFront | None = None
+        if second is not None:
+            self.nats_front = nats.NatsFront(loop, config, second, relay)
+            relay.listeners.append(loop.listen(second.listen, "nats", self.nats_front.serve).close)
+            health = Health(relay)
+            for address, name, answer in (
+                (second.agent, "agent", health.agent),
+                (second.health, "health", health.http),
+            ):
+                if address is not None:
+                    relay.listeners.append(loop.listen(address, name, answer).close)
+
+    def reload(self, path: str, nats_path: str | None = None) -> None:
+        """Read the files again and take over what can change while connections stand; log what can't.
+
+        A bad file changes nothing. Guards against an end of the process on SIGHUP, which is its default.
+        """
+        try:
+            config, second = read(path, nats_path)
+        except (OSError, ConfigError) as error:
+            log(f"reload: {error}; the old settings stay")
+            return
+        kept = [
+            key for key in ("name", "listen", "settings") if getattr(config, key) != getattr(self.config, key)
+        ]
+        if self.nats_front is not None and second is not None:
+            old = self.nats_front.nats
+            fixed = ("listen", "health", "agent")
+            kept += [f"nats {key}" for key in fixed if getattr(second, key) != getattr(old, key)]
+            self.nats_front.nats = replace(second, **{key: getattr(old, key) for key in fixed})
+        self.loop.limit(config.sockets)
+        self.directory.move(config.directory)
+        log("reload: done" + (f"; changed but kept until a restart: {', '.join(kept)}" if kept else ""))
 
 
 config_option = click.option(
@@ -86,18 +111,18 @@
 @click.option("--trace", is_flag=True, help="Log every call and every end.")
 @nats_option
 def serve(path: str, trace: bool, nats_path: str | None) -> None:
-    """Run one proxy until SIGTERM."""
-    config = load(path)
-    second = load_nats(nats_path, config) if nats_path else None
+    """Run one proxy until SIGTERM; SIGHUP has it read its files again."""
+    config, second = load(path, nats_path)
     loop = Loop(config.sockets)
     try:
-        relay = wire(loop, config, second)
+        proxy = Proxy(loop, config, second)
     except OSError as error:
         print(f"arrowseam: cannot listen: {error}", file=sys.stderr)
         sys.exit(1)
-    relay.trace = trace
+    proxy.relay.trace = trace
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.on_signal(number, relay.drain)
+        loop.on_signal(number, proxy.relay.drain)
+    loop.on_signal(signal.SIGHUP, lambda: proxy.reload(path, nats_path))
     log(f"arrowseam {__version__}: {config.name or os.getpid()} listens on {config.listen}")
     loop.run()
 
@@ -107,9 +132,8 @@
 @nats_option
 def check_config(path: str, nats_path: str | None) -> None:
     """Read the configuration and say what it holds."""
-    config = load(path)
-    if nats_path:
-        second = load_nats(nats_path, config)
+    config, second = load(path, nats_path)
+    if second is not None:
         click.echo(f"{nats_path}: good; {len(second.users)} users, {len(second.names)} names")
     click.echo(
         f"{path}: good; {len(config.settings.classes)} classes, {len(config.zones)} zones, "
--- a/arrowseam/net/directory.py
+++ b/arrowseam/net/directory.py
@@ -29,6 +29,7 @@
 class Directory:
     def __init__(self, loop: Loop, config: Config, facade: Facade) -> None:
         self.loop, self.config, self.facade = loop, config, facade
+        self.address = config.directory
         self.version = 0
         self.whole = True  # the next call asks for the whole list
         self.asked = False
@@ -46,9 +47,24 @@
         """Begin to watch, or with ``whole`` ask for the whole list first; answers go to the facade."""
         self.asked, self.whole = True, self.whole or whole
         if self.task is None:
-            self.task = self.loop.spawn(self._run(parse_address(self.config.directory)), "directory")
+            self.task = self.loop.spawn(self._run(parse_address(self.address)), "directory")
         self.loop.wake(self.task)
 
+    def move(self, address: str) -> None:
+        """Leave the directory for another at once, in the middle of a call if need be.
+
+        The list held stays until the new one has told its own, all of it: versions there may count anew.
+        """
+        if address == self.address:
+            return
+        log(f"directory: {self.address} left for {address}")
+        self.address = address
+        if self.task is not None:
+            self.task.gen.close()
+            self.task = None
+        self._hang_up()
+        self.ask(whole=True)
+
     def _take(self, doc: Any, cached: bool = False) -> None:
         listing: Listing = read_listing(doc, self.config, self.facade.numbers, cached)
         self.version = listing.version
@@ -90,7 +106,7 @@
         conn, http = self.conn, self.http
         if conn is None or http is None:
             raise CallFailed("no connection")
-        head = h11.Request(method="GET", target=target, headers=[("Host", self.config.directory)])
+        head = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         data = (http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b"")
         if not (yield from conn.send(data, due)):
             raise CallFailed("the request could not be written")
--- a/arrowseam/net/health.py
+++ b/arrowseam/net/health.py
@@ -31,6 +31,7 @@
 
     def http(self, conn: Conn) -> Steps[None]:
         due = clock() + ASKED_WITHIN
+        conn.loop.expendable[conn] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=8192)
         status, text, method = 400, "bad request", b""
         try:
@@ -38,12 +39,13 @@
                 event = http.next_event()
                 if event is h11.NEED_DATA:
                     conn.fill()
-                    if conn.eof or (not len(conn.inbox) and clock() >= due):
+                    if conn.eof or clock() >= due:
                         return
                     if not len(conn.inbox):
                         yield due
                         continue
                     http.receive_data(conn.inbox.take(len(conn.inbox)))
+                    yield from conn.loop.rest()
                 elif isinstance(event, h11.Request):
                     method = event.method
                     if event.target.split(b"?")[0] != b"/healthz":
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -6,16 +6,19 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
 from arrowseam.facade import Config, Facade, Invocation
-from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Framer, Loop, Passage, Steps, clock
+from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Framer, Loop, Passage, Steps, clock, log
 from arrowseam.relay import REJECT_MS, Consumer, Relay
 
 LINE_MAX = 4096
-FIRST_LINE = 10 * SECOND  # a connection that says nothing for so long is closed
+EARLY = 16384  # bytes held of a consumer that has been heard
+FIRST_LINE = 2 * SECOND  # from connecting, whatever is said before it: then it is closed
+PINGS = 16  # asked before the first line; who wants more than that wants something else
 # ``d`` counts from the client's sending: what the way here and back, and our own queue, may take of it.
 MARGIN = 15 * MS
 STANDING = 38 * SECOND  # for a connection that stood before, where it does not say
@@ -41,12 +44,22 @@
         return self.head + b",".join(parts) + b"\r\n"
 
 
+# Only what is of these forms is read as a number: int() and float() take signs, underscores, nan and more,
+# which servers don't, and a number of any length.
+FIRST = re.compile(rb"OPEN ([0-9a-fA-F]{1,16}) ([0-9a-fA-F]{1,16}) ([!-~]+)")
+FORMS = {
+    "d": re.compile(r"[0-9]{1,9}"),
+    "g": re.compile(r"[0-9a-fA-F]{1,16}"),
+    "h": re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?"),
+}
+
+
 def parse_open(line: bytes) -> Opening:
-    words = line.split(b" ")
-    if len(words) != 4 or words[0] != b"OPEN" or not words[1] or not line.isascii():
+    found = FIRST.fullmatch(line)
+    if found is None:
         raise BadLine("not OPEN ID KEY VALUES")
     pairs = []
-    for part in words[3].split(b","):
+    for part in found[3].split(b","):
         key, equals, value = part.partition(b"=")
         if not key or not equals:
             raise BadLine("values must be NAME=VALUE")
@@ -54,16 +67,12 @@
     values = {k.decode(): v.decode() for k, v in pairs}
     if len(values) != len(pairs):
         raise BadLine("a name stands twice")
-    if "c" not in values or not values.get("d", "").isdigit():
+    for name, form in FORMS.items():
+        if name in values and not form.fullmatch(values[name]):
+            raise BadLine(f"{name} is not of its form")
+    if "c" not in values or "d" not in values:
         raise BadLine("c and d are needed")
-    return Opening(line[: -len(words[3])], tuple(pairs), words[1].decode(), _hex(words[2].decode()), values)
-
-
-def _hex(text: str) -> int:
-    try:
-        return int(text, 16) & 0xFFFFFFFFFFFFFFFF
-    except ValueError:
-        raise BadLine(f"not a hexadecimal number: {text!r}") from None
+    return Opening(line[: found.start(3)], tuple(pairs), found[1].decode(), int(found[2], 16), values)
 
 
 def invocation_of(opening: Opening, config: Config, now: int) -> Invocation:
@@ -71,17 +80,15 @@
     klass, tenant = config.classes.get(values["c"]), config.tenants.get(values.get("t", ""), 0)
     if klass is None or (values.get("t") and values["t"] not in config.tenants):
         raise BadLine("unknown class or tenant")
-    try:
-        load = float(values.get("h", "0"))
-    except ValueError:
-        raise BadLine("h must be a number") from None
+    # No client waits longer than its class does; one whose connection stood before says how long.
+    longest = STANDING if values.get("at") else config.settings.classes[klass].deadline
     return Invocation(
         klass=klass,
         tenant=tenant,
         key=opening.key,
-        due=now + max(0, int(values["d"]) * MS - MARGIN),
-        group=_hex(values.get("g") or "0"),
-        load=load,
+        due=now + max(0, min(int(values["d"]) * MS, longest) - MARGIN),
+        group=int(values.get("g", "0"), 16),
+        load=float(values.get("h", "0")),
         repeat=values.get("r") == "1",
         returned=values.get("again") == "1",
         server=values.get("at", ""),
@@ -189,32 +196,51 @@
 
     def __init__(self, loop: Loop, config: Config, relay: Relay) -> None:
         self.loop, self.config, self.relay = loop, config, relay
+        self.names: set[str] = set()  # of those that are with us now
 
     def serve(self, conn: Conn) -> Steps[None]:
-        if self.loop.scarce:
+        conn.inbox.limit = LINE_MAX
+        if not self.loop.make_room():
             # Early and honest, while there are descriptors to do it with.
             due = clock() + SECOND
             yield from conn.send(rejection_line(REJECT_MS), due)
             yield from conn.part(due)
             return
-        while True:
-            line = yield from conn.line(LINE_MAX, clock() + FIRST_LINE)
-            if line == b"PING":
-                yield from conn.send(b"PONG\r\n", clock() + SECOND)
-                continue
-            if line is None and not len(conn.inbox):
-                return
-            break
+        self.loop.expendable[conn] = rejection_line(REJECT_MS)
+        line = yield from self._first(conn, clock() + FIRST_LINE)
+        self.loop.expendable.pop(conn, None)
+        if line is None and not len(conn.inbox):
+            return
         try:
             opening = parse_open(line or b"")
             invocation = invocation_of(opening, self.config, clock())
-        except BadLine:
+            if opening.name in self.names:
+                raise BadLine("the id of another connection")
+            if len(conn.inbox):
+                raise BadLine("a client waits after its first line")
+        except BadLine as error:
+            if self.relay.trace:
+                log(f"bad first line: {error}: {(line or conn.inbox.peek(60))[:120]!r}")
             yield from conn.send(b"ERR\r\n", clock() + SECOND)
             yield from conn.part(clock() + SECOND // 2)
             return
+        conn.inbox.limit = EARLY
         consumer = LineConsumer(self.loop, conn, self.config.settings.limits.connect_timeout, opening)
         invocation.left = lambda: conn.left
-        yield from self.relay.serve(invocation, consumer)
+        self.names.add(opening.name)
+        try:
+            yield from self.relay.serve(invocation, consumer)
+        finally:
+            self.names.discard(opening.name)
+
+    def _first(self, conn: Conn, due: int) -> Steps[bytes | None]:
+        """The first line that is no PING. One PING a round of the loop is answered, and not for ever."""
+        for _ in range(PINGS):
+            line = yield from conn.line(LINE_MAX, due)
+            if line != b"PING" or not (yield from conn.send(b"PONG\r\n", due)):
+                return line
+            yield from self.loop.rest()
+        return b"PING"
 
 
 def probe(loop: Loop, facade: Facade, server: str, address: Address | None) -> Steps[None]:
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -35,7 +35,13 @@
 MS = 1_000
 CHUNK = 4096  # room asked for before each read
 ROUNDS = 16  # reads for one connection before the others get their turn
+ACCEPTS = 64  # connections taken in one round: those taken before are heard first
 LINGER = SECOND // 2  # how long an ended connection may take to hear of it
+# A peer that is still sending is heard out for so long: 60 MB take seconds, and a reset would overtake our
+# word.
+HEAR_OUT = 5 * SECOND
+HEAR_PACE = 2 * MS  # between two helpings of what is thrown away: its sender must not have the core to itself
+SCRATCH = bytearray(65536)  # what is thrown away is read into this and nowhere else
 WATCHED = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
 
 
@@ -192,13 +198,34 @@
                 yield due
         return False
 
+    def skim(self) -> bool:
+        """Throw away what has come, but no more than one helping; whether anything came."""
+        came = len(self.inbox) > 0
+        self.inbox.drop(len(self.inbox))
+        for _ in range(ROUNDS):
+            if not self.readable or self.eof or self.broken:
+                break
+            try:
+                count = self.sock.recv_into(SCRATCH)
+            except (BlockingIOError, InterruptedError):
+                self.readable = False
+            except OSError:
+                self.broken = self.eof = True
+            else:
+                self.eof = count == 0
+                came = came or count > 0
+        return came
+
     def line(self, limit: int, due: int) -> Steps[bytes | None]:
-        """The next line without its end; None at the end of the stream, ``due``, or past ``limit``."""
+        """The next line without its CRLF; None at the end of the stream, ``due``, or past ``limit``.
+
+        A line that ends in any other way keeps its end, so that nobody takes it for what it is not.
+        """
         while True:
             self.fill()
             at = self.inbox.find(b"\n")
             if 0 <= at < limit:
-                return self.inbox.take(at + 1).rstrip(b"\r\n")
+                return self.inbox.take(at + 1).removesuffix(b"\r\n")
             if at >= limit or len(self.inbox) >= limit or self.eof or clock() >= due:
                 return None
             yield due
@@ -221,6 +248,7 @@
         if self.closed:
             return
         self.closed = True
+        self.loop.expendable.pop(self, None)
         if reset:
             # Passed on as it came: a reset on one side is a reset on the other.
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -228,13 +256,23 @@
         self.sock.close()
 
     def part(self, due: int) -> Steps[None]:
-        """Close without a reset that would overtake our last line: end, hear the peer out, close."""
-        if not self.broken:
+        """Close without a reset that would overtake our last line: end, hear the peer out, close.
+
+        A peer that is quiet is heard until ``due``, one that is still sending for longer. Guards against
+        senders of 60 MB who lose our answer to the reset that their own unread bytes bring about.
+        """
+        if not self.broken and not self.closed:
             self.end()
-        while not self.eof and not self.broken and clock() < due:
-            self.inbox.drop(len(self.inbox))
-            if not self.fill() and not self.eof and not self.broken:
-                yield due
+            self.loop.expendable[self] = b""
+        last = clock() + HEAR_OUT
+        while not self.eof and not self.broken and not self.closed and clock() < min(due, last):
+            if self.skim():
+                due = max(due, clock() + LINGER)
+                pause = clock() + HEAR_PACE
+                while clock() < pause:
+                    yield pause
+            elif not self.eof and not self.broken:
+                yield min(due, last)
         self.close()
 
 
@@ -258,9 +296,13 @@
         self.conns: dict[int, Conn | Task] = {}
         self.stale: set[int] = set()
         self.ready: deque[Task] = deque()
+        # Connections that may be closed to make room, oldest first, each with the last word it is owed:
+        # those that have not said yet what they want, and (with none) those that have had their answer.
+        self.expendable: dict[Conn, bytes] = {}
+        self.acts: dict[int, Callable[[], None]] = {}
         self.timers: list[tuple[int, int, Task]] = []
         self.count = 0
-        self.sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.limit(sockets)
         self.current: Task | None = None
         self.turn: Callable[[int], int | None] = lambda now: None
         self.stopped = False
@@ -268,6 +310,10 @@
         # Held so that a taken connection can be answered even when no descriptor is left.
         self.spare = os.open("/dev/null", os.O_RDONLY)
 
+    def limit(self, sockets: int) -> None:
+        """How many descriptors there may be in all."""
+        self.sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+
     # --- descriptors ---
 
     def watch(self, conn: Conn) -> None:
@@ -289,8 +335,27 @@
         """
         return self.spare < 0 or len(self.conns) + 24 + self.sockets // 32 >= self.sockets
 
+    def make_room(self) -> bool:
+        """Whether there is room for one more connection, once those that can be spared have gone.
+
+        Guards against hundreds that connect and say nothing: they, not whoever comes next, are turned away.
+        """
+        if self.scarce:
+            # The mute before the answered, which may still be hearing their answer.
+            for conn, word in sorted(self.expendable.items(), key=lambda item: not item[1]):
+                if word and conn.fill():
+                    continue  # it has just spoken: what it said comes first
+                if word:
+                    conn.push(word)
+                conn.close()
+                self.wake(conn.owner)
+                if not self.scarce:
+                    break
+        return not self.scarce
+
     def dial(self, address: Address, limit: int = 16384) -> Conn | None:
         """Begin to connect for the running coroutine; None if that fails at once."""
+        self.make_room()
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
         except OSError:
@@ -307,11 +372,15 @@
         conn = self.dial(address)
         if conn is None:
             return None
-        while not conn.writable:
-            if clock() >= due or stop():
-                conn.close()
-                return None
-            yield due
+        try:
+            while not conn.writable:
+                if clock() >= due or stop():
+                    conn.close()
+                    return None
+                yield due
+        except GeneratorExit:
+            conn.close()  # broken off by whoever started this
+            raise
         if conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             conn.close()
             return None
@@ -334,6 +403,11 @@
             task.queued = True
             self.ready.append(task)
 
+    def rest(self) -> Steps[None]:
+        """Let all the others have a turn. Guards against a peer that sends as fast as it is answered."""
+        self.wake(self.current)
+        yield None
+
     def resume(self, task: Task) -> None:
         task.queued, task.due = False, None
         self.current = task
@@ -353,23 +427,29 @@
             heapq.heappush(self.timers, (due, self.count, task))
 
     def on_signal(self, number: int, act: Callable[[], None]) -> None:
-        """Call ``act`` from the loop after a signal. The pipe ends the wait that the signal interrupts."""
-        ours, theirs = socket.socketpair()
-        theirs.setblocking(False)
-        signal.set_wakeup_fd(theirs.fileno())
-        signal.signal(number, lambda *_: None)
+        """Call ``act`` from the loop after a signal; several that came together count as one.
 
-        def wait() -> Steps[None]:
-            conn = Conn(self, ours, self.current)
-            while True:
-                conn.fill()
-                if len(conn.inbox):
-                    conn.inbox.drop(len(conn.inbox))
-                    act()
-                _ = theirs  # kept open as long as this runs
-                yield None
+        A process has one wake-up pipe for all signals, which tells them apart by number: were there a pipe
+        for each, the last one made would get them all.
+        """
+        self.acts[number] = act
+        if len(self.acts) == 1:
+            self.spawn(self._signals(), "signal")
+        signal.signal(number, lambda *_: None)
 
-        self.spawn(wait(), "signal")
+    def _signals(self) -> Steps[None]:
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+        conn = Conn(self, ours, self.current)
+        while True:
+            conn.fill()
+            for number in sorted(set(conn.inbox.take(len(conn.inbox)))):
+                try:
+                    self.acts.get(number, lambda: None)()
+                except Exception as error:  # the next signal must find its act all the same
+                    log(f"signal {number}: {error!r}")
+            yield None
 
     def run(self) -> None:
         due: int | None = clock()  # the first turn comes at once
@@ -403,7 +483,7 @@
 
 
 class Listener:
-    """Accepts until the backlog is empty: what is in it counts as taken."""
+    """Accepts some of the backlog each round and all of it at its end: what is in it counts as taken."""
 
     def __init__(self, loop: Loop, address: Address, name: str, serve: Callable[[Conn], Steps[None]]) -> None:
         self.loop, self.name, self.serve = loop, name, serve
@@ -422,11 +502,13 @@
 
     def _run(self) -> Steps[None]:
         while True:
-            self.accept()
+            self.accept(ACCEPTS)
             yield None
 
-    def accept(self) -> None:
-        while self.sock.fileno() >= 0:
+    def accept(self, most: int) -> None:
+        for _ in range(most):
+            if self.sock.fileno() < 0:
+                return
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -468,7 +550,7 @@
 
     def close(self) -> None:
         if self.sock.fileno() >= 0:
-            self.accept()
+            self.accept(1 << 20)
             self.loop.conns.pop(self.sock.fileno(), None)
             self.loop.epoll.unregister(self.sock.fileno())
             self.sock.close()
--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -33,7 +33,10 @@
 
 CONTROL_LINE = 4096  # longest control line, without its end, that a client may send
 SERVER_LINE = 32768  # servers' INFO may be longer
-EARLY_MAX = 65536  # bytes held for a consumer that has no server yet; past that it is not read
+# Bytes held for a consumer that has no server yet; past that it is not read. Memory may be 32 MB in all.
+EARLY_MAX = 16384
+SERVER_MAX = 65536  # the same of a server
+PINGS = 16  # asked before CONNECT
 GREETING = 2 * SECOND  # a consumer's CONNECT is waited for so long
 ASK_AFTER = 2 * SECOND  # a server not heard for so long is asked with a PING of ours
 
@@ -263,7 +266,7 @@
 
 
 class NatsConsumer(Consumer):
-    early = EARLY_MAX
+    early = SERVER_MAX
 
     def __init__(self, front: NatsFront, conn: Conn, connect: bytes) -> None:
         super().__init__(front.loop, conn, front.config.settings.limits.connect_timeout)
@@ -388,11 +391,13 @@
         return b"INFO " + json.dumps(fields, separators=(",", ":")).encode() + b"\r\n"
 
     def serve(self, conn: Conn) -> Steps[None]:
-        conn.inbox.limit = EARLY_MAX
+        conn.inbox.limit = 2 * CONTROL_LINE
         due = clock() + GREETING
-        if self.loop.scarce:
-            yield from self._refuse(conn, f"Maximum Connections Exceeded, Retry After {REJECT_MS} ms")
+        full = f"Maximum Connections Exceeded, Retry After {REJECT_MS} ms"
+        if not self.loop.make_room():
+            yield from self._refuse(conn, full)
             return
+        self.loop.expendable[conn] = error_line(full)
         if not (yield from conn.send(self.info(), due)):
             return
         try:
@@ -400,6 +405,8 @@
             if connect is None:
                 return
             fields = parse_object(connect)
+            self.loop.expendable.pop(conn, None)
+            conn.inbox.limit = EARLY_MAX
         except ProtocolError as error:
             yield from self._refuse(conn, str(error))
             return
@@ -426,6 +433,7 @@
 
     def _connect(self, conn: Conn, due: int) -> Steps[bytes | None]:
         """The consumer's CONNECT; what it sends behind that stays in its buffer. None if it left."""
+        pings = 0
         while True:
             conn.fill()
             op = parse_op(conn.inbox, 0, FROM_CLIENT, CONTROL_LINE, self.nats.max_payload)
@@ -435,8 +443,11 @@
                     return op.rest
                 if op.verb != b"PING":
                     raise ProtocolError("Authorization Violation")  # CONNECT comes first
+                pings += 1
+                if pings > PINGS or not (yield from conn.send(b"PONG\r\n", due)):
+                    raise ProtocolError("Authentication Timeout")
                 conn.inbox.drop(op.size)
-                yield from conn.send(b"PONG\r\n", due)
+                yield from self.loop.rest()
                 continue
             if conn.eof:
                 return None
--- a/tests/network.py
+++ b/tests/network.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import re
 import socket
@@ -14,7 +15,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from arrowseam.__main__ import wire as wire_up
+from arrowseam.__main__ import Proxy
 from arrowseam.facade import read_config
 from arrowseam.net.loop import SECOND, Conn, Loop, Steps, clock
 from arrowseam.net.nats import read_nats_config
@@ -159,6 +160,7 @@
     def __init__(self, wire: str, *modes: str, known: bool = True, **changes: Any) -> None:
         self.wire, self.words, self.loop = wire, WORDS[wire], Loop()
         self.flying = self.most_flying = 0
+        self.numbers = itertools.count(1000)  # an id is new with every connection
         self.version, self.told, self.calls = 1, [], []
         self.bad: bytes | None = None  # what the directory answers in place of a list
         self.servers = [Server(self, f"s{n}", mode) for n, mode in enumerate(modes)]
@@ -179,7 +181,8 @@
         }
         nats["servers"] = {row["instanceId"]: row["hostPort"] for row in rows}
         self.second = read_nats_config(json.dumps(nats).encode(), self.config)
-        self.relay = wire_up(self.loop, self.config, self.second)
+        self.proxy = Proxy(self.loop, self.config, self.second)
+        self.relay = self.proxy.relay
         self.addresses = {listener.name: listener.address for listener in self.loop.listeners}
         self.address = self.addresses["front" if wire == "lines" else "nats"]
 
@@ -227,7 +230,7 @@
 
     def up(self, count: int = 1, **fields: Any) -> list[Consumer]:
         """Consumers that have been served."""
-        found = [self.consumer(n + 1, **fields) for n in range(count)]
+        found = [self.consumer(next(self.numbers), **fields) for _ in range(count)]
         self.until(lambda: all(c.has("up") for c in found))
         return found
 
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -106,6 +106,19 @@
         b"OPEN 9b 7f c=tech,t=odd,d=5",
         b"OPEN 9b 7f c=tech,d=5,h=x",
         b"OPEN \xff 7f c=tech,d=5",
+        b"OPEN 0x9b 7f c=tech,d=5",
+        b"OPEN 9b -7f c=tech,d=5",
+        b"OPEN 9b 7_f c=tech,d=5",
+        b"OPEN 9b 11112222333344445 c=tech,d=5",
+        b"OPEN 9b 7f c=tech,d=9999999999",
+        b"OPEN 9b 7f c=tech,d=1_0",
+        b"OPEN 9b 7f c=tech,d=5,g=+5",
+        b"OPEN 9b 7f c=tech,d=5,g=",
+        b"OPEN 9b 7f c=tech,d=5,h=nan",
+        b"OPEN 9b 7f c=tech,d=5,h=1e999",
+        b"OPEN 9b 7f c=tech,d=5,h=-1",
+        b"OPEN 9b 7f c=tech,d=5\r",
+        b"OPEN 9b 7f c=tech,d=5,z=\0",
     ],
 )
 def test_a_bad_first_line_is_failed_and_closed(world, line):
@@ -126,6 +139,37 @@
     assert found.due == 100 + 1500 * MS - lines.MARGIN  # the client's clock began before ours
 
 
+@pytest.mark.parametrize("end", [b"\n", b"\r\nOPEN 02 0a c=tech,t=acme,d=1800\r\n"])
+def test_what_does_not_end_as_it_should_or_does_not_wait_is_failed(world, end):
+    """Sent on it would be a line that no client sent in this form."""
+    w = world("up")
+    w.words = w.words | {"open": lambda n, klass: b"OPEN 01 0a c=tech,t=acme,d=1800" + end}
+    consumer = w.consumer()
+    w.until(lambda: consumer.ended_at)
+    assert bytes(consumer.got) == b"ERR\r\n" and not w.servers[0].heard
+
+
+def test_no_consumer_waits_longer_than_its_class_does():
+    """Guards against a huge ``d``, which would hold its place for as long as it says."""
+    found = lines.invocation_of(lines.parse_open(b"OPEN 9b 7f c=tech,d=999999999"), config(), 0)
+    assert found.due == 1800 * MS - lines.MARGIN
+
+
+def test_the_id_of_an_open_connection_is_refused_and_the_first_is_not_harmed(world):
+    w = world("up")
+    first = w.consumer(7)
+    w.until(lambda: first.has("up"))
+    second = w.consumer(7)
+    w.until(lambda: second.ended_at)
+    assert bytes(second.got) == b"ERR\r\n" and not first.ended_at and len(w.servers[0].heard) == 1
+    first.say(b"still here\r\n")
+    w.until(lambda: b"still here" in first.got)
+    first.conn.close()
+    w.until(lambda: not w.relay.live)
+    again = w.consumer(7)
+    w.until(lambda: again.has("up"))
+
+
 def test_an_overlong_first_line_is_failed(world):
     w = world("up")
     w.words = w.words | {"open": lambda n, klass: b"OPEN " + b"x" * 5000}
@@ -152,9 +196,9 @@
 
 def test_a_standing_connection_goes_to_its_own_server(world):
     w = world("up", "up", "up")
-    line = b"OPEN 01 0a c=tech,t=acme,d=4294967,at=s2\r\n"
-    w.words = w.words | {"open": lambda n, klass: line}
-    seen = [w.consumer() for _ in range(5)]
+    line = b"OPEN %02x 0a c=tech,t=acme,d=4294967,at=s2\r\n"
+    w.words = w.words | {"open": lambda n, klass: line % n}
+    seen = [w.consumer(n) for n in range(5)]
     w.until(lambda: all(c.has("up") for c in seen))
     assert [len(s.heard) for s in w.servers] == [0, 0, 5]
     assert all(b"at=s2" in got for got in w.servers[2].heard)
