--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -91,7 +91,7 @@
 
     __slots__ = (
         "answered", "attempts", "deadline", "fresh", "group", "id", "key", "klass", "load", "looks",
-        "mid_flow", "open", "pending", "picks", "ran_at", "ran_on", "server", "tenant", "tried",
+        "mid_flow", "open", "picks", "ran_at", "ran_on", "server", "tenant", "tried",
     )  # fmt: skip
 
     def __init__(self, request: api.Request, now: int, load: float) -> None:
@@ -104,8 +104,7 @@
         self.deadline = now + max(0, request.time_left)
         self.attempts = 0
         self.tried: list[Server] = []
-        self.server: Server | None = None  # where the pending attempt or the open connection is
-        self.pending = False
+        self.server: Server | None = None  # where the attempt under way or the open connection is
         self.open = False
         self.answered = False
         self.ran_on: Server | None = None  # first attempt that may have run
@@ -132,6 +131,7 @@
 DENIALS = 2
 RATE_SPAN = 10.0 * SECOND  # arrivals are averaged over this span
 STRAIN_PACE = 4.0  # attempts per ordinary arrival that a strained relay may make: room for each to be retried
+LONE_GAP = SECOND // 10
 # With less than this part of the aim left, a set-up is not begun: it would fail, cost the backend its work
 # all the same, and its time-out would tell of a strain that is not there.
 HURRY = 0.25
@@ -186,6 +186,7 @@
         self.jobs: dict[int, Job] = {}
         self.load = 0.0  # of all connections and attempts of this relay
         self.connections = 0
+        self.flying: set[int] = set()  # requests with an attempt under way
         self.held: dict[int, Job] = {}  # requests that nothing can be sent for just now
         self.looking = False  # a timer to look at them again is set
         self.class_load = [0.0] * len(settings.classes)  # mean load seen per class
@@ -202,7 +203,7 @@
         self.prior = 0.0  # strikes of a backend of which nothing is known
         self.home_calm = 1.0  # the same of this relay's zone
         self.strain = 0.0
-        self.strain_at = self.strain_tokens_at = 0
+        self.strain_at = self.strain_tokens_at = self.lone_at = 0
         self.strain_tokens = 0.0
         self.calm_at = 0
         self.window = math.inf  # load that this relay may hold while the fleet is overfull
@@ -227,7 +228,7 @@
             api.LoadNote: self._on_load,
             api.DelayNote: self._on_delay,
             api.ProbeEnded: self._on_probed,
-            api.PeerMessage: self._on_peer,
+            api.PeerMessage: lambda event: None,
             api.Timer: self._on_timer,
         }
 
@@ -465,6 +466,11 @@
         strain = self._strain()
         if strain <= 1.0:
             return True
+        # One attempt at a time may go, a little after the last: that tells when the storm is over.
+        # Guards against a relay that stays shut for half a minute because nothing it sends could succeed.
+        if not self.flying and self.now - self.lone_at >= LONE_GAP:
+            self.lone_at = self.now
+            return True
         rate = STRAIN_PACE * self._rate() * float(0.5 ** (strain - 1.0))
         tokens: float = min(1.0, self.strain_tokens + rate * (self.now - self.strain_tokens_at))
         self.strain_tokens_at = self.now
@@ -536,6 +542,7 @@
             self.serving.pop(server.id, None)
 
     def _let_go(self, job: Job) -> None:
+        self.flying.discard(job.id)
         if job.server is not None:
             job.server.load -= job.load
             job.server.held -= 1
@@ -582,7 +589,7 @@
         wait = self._patience(job, left)
         job.attempts += 1
         job.tried.append(server)
-        job.pending = True
+        self.flying.add(job.id)
         self._hold(job, server)
         self.out.append(api.Send(job.id, server.id, wait))
         return None
@@ -608,8 +615,8 @@
     def _patience(self, job: Job, left: int) -> int:
         """A time-out that leaves the later attempts their time; the last one may have all that is left."""
         attempts_left = self.settings.limits.max_attempts - job.attempts
-        if attempts_left <= 1:
-            return left
+        if attempts_left <= 1 or self._strain() > 1.0:
+            return left  # elsewhere it would wait for the same store, which has this one to do as well
         klass = self.settings.classes[job.klass]
         return min(left, max(left // attempts_left, min(klass.aim, left // 2)))
 
@@ -638,7 +645,8 @@
         job = self.jobs.get(event.request)
         if job is None:
             return
-        job.open, job.answered, job.pending = True, True, False
+        job.open, job.answered = True, True
+        self.flying.discard(job.id)
         if job.server is not None:
             self._opened(job.id, job.server)
         self._feel(-0.5)
@@ -651,11 +659,13 @@
             return  # the request was over for this relay already
         was_open = job.open
         self._let_go(job)
-        job.pending = False
         # What was sent in a hurry says nothing about the backend.
         hasty = outcome is Outcome.TIMEOUT and event.elapsed < HURRY * self.settings.classes[job.klass].aim
+        # Nor does a time-out while set-ups fail over all backends: what they share is slow, not this one.
+        shared = outcome is Outcome.TIMEOUT and self._strain() > 1.0
         if server is not None and outcome in FAILED and not hasty:
-            self._strike(server, 0.25 if outcome is Outcome.FULL else 1.0)
+            if not shared:
+                self._strike(server, 0.25 if outcome is Outcome.FULL else 1.0)
             if not was_open and outcome is not Outcome.FULL:
                 self._feel(0.5)
         if event.final or was_open:
@@ -882,6 +892,3 @@
             if job.id in self.probing and not any(job in s.probers for s in job.picks):
                 del self.probing[job.id]
                 self._place(job)
-
-    def _on_peer(self, event: api.PeerMessage) -> None:
-        pass
