Limit set-ups under way by a window, so that a restarted proxy is not jammed for ten seconds

Checked: the directory, addresses and servers were sound (same servers at the peer), no refusals from the front. At fault in balance.py: the pace of a strained relay was a share of ordinary arrivals, which a proxy that has only seen returning clients does not know; strain and six strikes for each server faded one in 6 s; and nothing limited the first wave, since no failure had come back yet. Now set-ups under way are limited by a window as TCP's is: first 8 for clients that come again, one more for each that is in time, half when one fails or is late; first tries pass while nothing is late. A time-out strikes a server less the more of the fleet is struck. Strain and its tokens are gone.

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -130,8 +130,10 @@
 # some chance of admission everywhere and undo the ration.
 DENIALS = 2
 RATE_SPAN = 10.0 * SECOND  # arrivals are averaged over this span
-STRAIN_PACE = 4.0  # attempts per ordinary arrival that a strained relay may make: room for each to be retried
-LONE_GAP = SECOND // 10
+LEAST_SEEN = 4.0  # under way when one fails: with fewer it may be chance
+ROOM_START = 8.0  # set-ups that a relay may have under way before it knows how fast they come up
+LONE_GAP = SECOND // 10  # between two attempts where only one may be under way
+JAM_LIFE = 2 * SECOND  # for so long after the last cut of that number a relay counts as jammed
 # With less than this part of the aim left, a set-up is not begun: it would fail, cost the backend its work
 # all the same, and its time-out would tell of a strain that is not there.
 HURRY = 0.25
@@ -202,9 +204,8 @@
         self.calm: float = 1.0  # share of the fleet without a strike
         self.prior = 0.0  # strikes of a backend of which nothing is known
         self.home_calm = 1.0  # the same of this relay's zone
-        self.strain = 0.0
-        self.strain_at = self.strain_tokens_at = self.lone_at = 0
-        self.strain_tokens = 0.0
+        self.room = ROOM_START  # set-ups that may be under way
+        self.jammed_at = self.sent_at = -(1 << 62)
         self.calm_at = 0
         self.window = math.inf  # load that this relay may hold while the fleet is overfull
         self.peak = 0.0  # load held when the last trouble of all backends began
@@ -457,35 +458,35 @@
                 self.changed = True
         return self.calm
 
-    def _unstrained(self) -> bool:
+    def _unjammed(self, job: Job) -> bool:
         """Whether another attempt may go out now, whichever backend it would go to.
 
-        Guards against overwhelming what all backends share, such as a session store: then attempts fail
-        everywhere, and waiting for evidence against each backend alone would take a storm to gather.
+        Guards against overwhelming what all backends share, such as a session store: set-ups under way are
+        kept to what comes up in time, as TCP keeps its packets. The rest waits here, where it costs no work.
+        First tries pass freely while nothing is late; those who come again may all come at once.
         """
-        strain = self._strain()
-        if strain <= 1.0:
+        if job.fresh and not self._jammed():
             return True
-        # One attempt at a time may go, a little after the last: that tells when the storm is over.
-        # Guards against a relay that stays shut for half a minute because nothing it sends could succeed.
-        if not self.flying and self.now - self.lone_at >= LONE_GAP:
-            self.lone_at = self.now
-            return True
-        rate = STRAIN_PACE * self._rate() * float(0.5 ** (strain - 1.0))
-        tokens: float = min(1.0, self.strain_tokens + rate * (self.now - self.strain_tokens_at))
-        self.strain_tokens_at = self.now
-        self.strain_tokens = max(0.0, tokens - 1.0)
-        return self.random() < tokens
-
-    def _strain(self) -> float:
-        return max(0.0, self.strain - (self.now - self.strain_at) / FORGIVE)
-
-    def _feel(self, change: float) -> None:
-        """More set-ups failing than succeeding, over all backends, strain the whole relay."""
-        self.strain = min(max(0.0, self._strain() + change), STRIKE_LIMIT)
-        self.strain_at = self.now
-        if change > 0.0 and self.strain > 1.0:
-            self._log(f"strained: set-ups fail over all backends; {len(self.held)} requests held")
+        return len(self.flying) < self.room and (self.room >= 2.0 or self.now - self.sent_at >= LONE_GAP)
+
+    def _came_up(self, elapsed: int, aim: int) -> None:
+        if elapsed > aim > 0:
+            self._jam(aim)
+        elif 2 * elapsed <= aim and 2 * len(self.flying) + 2 >= self.room:
+            self.room += 1.0
+
+    def _jam(self, aim: int) -> None:
+        """Set-ups fail or are late: have half as many under way, once in the time that one may take."""
+        if self.now - self.jammed_at >= aim:
+            self.jammed_at = self.now
+            self.room = max(1.0, min(self.room, max(len(self.flying), LEAST_SEEN)) / 2.0)
+            if self.held:
+                self._log(
+                    f"jammed: set-ups fail or are late; {self.room:.0f} at a time, {len(self.held)} held"
+                )
+
+    def _jammed(self) -> bool:
+        return self.now - self.jammed_at < JAM_LIFE
 
     def _rate(self) -> float:
         """First arrivals per microsecond in recent calm: in a storm the same clients come many times."""
@@ -495,7 +496,7 @@
 
     def _count_arrival(self) -> None:
         passed, self.rate_at = self.now - self.rate_at, self.now
-        if self._calm() < 0.5 or self._strain() > 1.0:
+        if self._calm() < 0.5 or self._jammed():
             return
         self.rate_seen += passed
         self.rate_count = self.rate_count * math.exp(-passed / RATE_SPAN) + 1.0
@@ -563,7 +564,7 @@
         if self._probe_first(job, left):
             return None
         server = None
-        if self.load + job.load <= self._window() and self._unstrained():
+        if self.load + job.load <= self._window() and self._unjammed(job):
             server = self._roomiest(job)
             if (
                 server is None
@@ -590,6 +591,7 @@
         job.attempts += 1
         job.tried.append(server)
         self.flying.add(job.id)
+        self.sent_at = self.now
         self._hold(job, server)
         self.out.append(api.Send(job.id, server.id, wait))
         return None
@@ -615,8 +617,8 @@
     def _patience(self, job: Job, left: int) -> int:
         """A time-out that leaves the later attempts their time; the last one may have all that is left."""
         attempts_left = self.settings.limits.max_attempts - job.attempts
-        if attempts_left <= 1 or self._strain() > 1.0:
-            return left  # elsewhere it would wait for the same store, which has this one to do as well
+        if attempts_left <= 1:
+            return left
         klass = self.settings.classes[job.klass]
         return min(left, max(left // attempts_left, min(klass.aim, left // 2)))
 
@@ -649,7 +651,7 @@
         self.flying.discard(job.id)
         if job.server is not None:
             self._opened(job.id, job.server)
-        self._feel(-0.5)
+        self._came_up(event.elapsed, self.settings.classes[job.klass].aim)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
         server = self.servers.get(event.backend)
@@ -661,13 +663,12 @@
         self._let_go(job)
         # What was sent in a hurry says nothing about the backend.
         hasty = outcome is Outcome.TIMEOUT and event.elapsed < HURRY * self.settings.classes[job.klass].aim
-        # Nor does a time-out while set-ups fail over all backends: what they share is slow, not this one.
-        shared = outcome is Outcome.TIMEOUT and self._strain() > 1.0
         if server is not None and outcome in FAILED and not hasty:
-            if not shared:
-                self._strike(server, 0.25 if outcome is Outcome.FULL else 1.0)
-            if not was_open and outcome is not Outcome.FULL:
-                self._feel(0.5)
+            # The more of the fleet is struck, the less a time-out says of this one: what all share is slow.
+            weight = {Outcome.FULL: 0.25, Outcome.TIMEOUT: self._calm()}.get(outcome, 1.0)
+            self._strike(server, weight)
+            if not was_open and outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED):
+                self._jam(self.settings.classes[job.klass].aim)
         if event.final or was_open:
             del self.jobs[event.request]
             return
@@ -778,7 +779,7 @@
         if self.changed:
             self._reweigh()
         relays, listed = self.settings.relays, sum(s.listed for s in self.ready)
-        if self._strain() > 0.0:
+        if self._jammed():
             return  # set-ups fail: who leaves now may not get in again
         if self.load <= 0.0 or not 0.0 < relays * self.connections < SPARE * self.capacity or not listed:
             return
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -89,12 +89,29 @@
     assert sent < 60
 
 
-def test_full_backends_do_not_strain_the_relay() -> None:
+def test_clients_that_all_come_again_are_set_up_as_fast_as_that_succeeds() -> None:
+    """Guards against a storm on a proxy that has just started: 357 ms after 60 at once all had timed out, and
+    for ten seconds nothing more was sent, though the servers and their store had long recovered."""
+    clock = Clock(relay(backends(6), tells_delay=False))
+    waiting = sends([a for n in range(80) for a in clock.step(ask(n, returned=True))])
+    assert 4 <= len(waiting) <= 16
+    for send in waiting:  # the store is slow: nobody is in time
+        clock.step(ended(send, api.Outcome.TIMEOUT, elapsed=357_000), after=1000)
+    up = 0
+    for n in range(400):  # now it is not
+        actions = clock.step(ask(1000 + n, returned=True), after=10_000)
+        for send in sends(actions or clock.wait(10_000)):
+            up += 1
+            clock.step(api.Established(send.request, 0, send.backend, 40_000), after=1000)
+    assert up > 100
+
+
+def test_full_backends_do_not_jam_the_relay() -> None:
     clock = Clock(relay(backends(50)))
     for n in range(20):
         for send in sends(clock.step(ask(n), after=10_000)):
             clock.step(ended(send, api.Outcome.FULL, final=True))
-    assert clock.balancer._strain() == 0.0
+    assert not clock.balancer._jammed()
 
 
 def test_a_backend_is_forgiven_in_time() -> None:
