--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -91,7 +91,7 @@
 
     __slots__ = (
         "answered", "attempts", "deadline", "fresh", "group", "id", "key", "klass", "load", "looks",
-        "mid_flow", "open", "picks", "ran_at", "ran_on", "server", "tenant", "tried",
+        "mid_flow", "open", "picks", "ran_at", "ran_on", "server", "tenant", "tried", "up_at",
     )  # fmt: skip
 
     def __init__(self, request: api.Request, now: int, load: float) -> None:
@@ -106,6 +106,7 @@
         self.tried: list[Server] = []
         self.server: Server | None = None  # where the attempt under way or the open connection is
         self.open = False
+        self.up_at = now
         self.answered = False
         self.ran_on: Server | None = None  # first attempt that may have run
         self.ran_at = 0
@@ -138,6 +139,7 @@
 # all the same, and its time-out would tell of a strain that is not there.
 HURRY = 0.25
 FORGIVE = 6 * SECOND  # a strike is forgiven over this span; 3 s and 12 s did worse on two sites of three
+PROVEN = 2 * SECOND  # a connection that breaks later than this was not shed for want of room
 STRIKE_LIMIT = 6.0  # halvings of the ration: what is left is the trickle that re-tests
 # Of the connections it holds at an overfull backend a relay moves this share at each note (one a second):
 # the backend is back within its capacity in a few seconds, and no crowd leaves at once.
@@ -644,7 +646,7 @@
         job = self.jobs.get(event.request)
         if job is None:
             return
-        job.open, job.answered = True, True
+        job.open, job.answered, job.up_at = True, True, self.now
         self.flying.discard(job.id)
         if job.server is not None:
             self._opened(job.id, job.server)
@@ -660,11 +662,11 @@
         self._let_go(job)
         # What was sent in a hurry says nothing about the backend.
         hasty = outcome is Outcome.TIMEOUT and event.elapsed < HURRY * self.settings.classes[job.klass].aim
-        # Connections that break together tell of one fault: a process that died, and may be back at once.
-        same = was_open and server is not None and self.now - server.struck_at < SECOND // 10
-        if server is not None and outcome in FAILED and not hasty and not same:
+        if server is not None and outcome in FAILED and not hasty:
             # The more of the fleet is struck, the less a time-out says of this one: what all share is slow.
             weight = {Outcome.FULL: 0.25, Outcome.TIMEOUT: self._calm()}.get(outcome, 1.0)
+            if was_open and self.now - job.up_at > PROVEN:
+                weight = 1.0 / (1.0 + len(server.open))  # the others there speak for it
             self._strike(server, weight)
             if not was_open and outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED):
                 self._jam(self.settings.classes[job.klass].aim)
