Move clients off draining servers before they stop; pass-through leaves the module

Now half of what is held at a draining server moves each second. Checked and ruled out: keeping new connections off servers that carry more than quotas and weights allow. The delay of echoed lines (0.1 ms on every server, crowded or not) tells nothing either.

--- a/arrowseam/api.py
+++ b/arrowseam/api.py
@@ -127,8 +127,6 @@
     zones: int = 1
     subscribe: bool = False  # the list comes only to those that ask for it
     live_weights: bool = False  # list weights are already lowered by load
-    pass_through: bool = False  # packets pass through; connections outlive the relay
-    park: int = 0
     groups: bool = False  # connections of one group share work on a backend
     over_share_worth: float = 1.0
     report_fields: tuple[str, ...] = ()
@@ -181,7 +179,6 @@
     load: float = 0.0  # the usual load of the connection; 0 = not told
     group: int = 0
     repeat: bool = False
-    mid_flow: bool = False  # packets of an open connection now reach this relay
     returned: bool = False  # the client came back after a break or a move
 
 
--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -43,14 +43,6 @@
     return [max(1, (locality[zone] * (weight * ONE // zones[zone])) >> 31) for zone, weight in servers]
 
 
-def mixed(key: int, backend: int) -> float:
-    """A number in (0, 1) that depends on the pair alone (the finalizer of splitmix64)."""
-    x = (key ^ backend * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ x >> 30) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ x >> 27) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
-    return float(((x ^ x >> 31) + 0.5) / (2.0**64 + 1.0))
-
-
 # --- what is held of each backend and each request ---------------------------------------------------------
 
 
@@ -91,7 +83,7 @@
 
     __slots__ = (
         "answered", "attempts", "deadline", "fresh", "group", "id", "key", "klass", "load", "looks",
-        "mid_flow", "open", "picks", "ran_at", "ran_on", "server", "tenant", "tried", "up_at",
+        "open", "picks", "ran_at", "ran_on", "server", "tenant", "tried", "up_at",
     )  # fmt: skip
 
     def __init__(self, request: api.Request, now: int, load: float) -> None:
@@ -100,7 +92,6 @@
         self.tenant = request.tenant
         self.key = request.key
         self.group = request.group
-        self.mid_flow = request.mid_flow
         self.deadline = now + max(0, request.time_left)
         self.attempts = 0
         self.tried: list[Server] = []
@@ -166,6 +157,7 @@
 QUOTA_PART = 0.82
 GROUP_COST = 3.0  # two mean loads for each, and other relays hold groups there that this one does not
 LEVEL_SHARE = 0.1  # of the connections held there, moved at a time, once a second
+LEAVE_SHARE = 0.5  # the same of a backend that drains, which stops a few seconds later
 LEVEL_DOUBT = 1.0  # standard deviations
 SPARE = 0.8  # with more of the fleet taken than this there is no better place to move to
 CROSSING = 0.1  # price of a crossing at which other zones keep 1/e of their share
@@ -253,6 +245,7 @@
             handler(event)  # type: ignore[operator]
         if now - self.level_at >= SECOND and not self.settings.tells_delay:
             self.level_at = now
+            self._leave()
             self._level()
         return self.out
 
@@ -273,7 +266,7 @@
         # The rest of the design's order is untouched, and evidence still overrides.
         zone = self.settings.zone
         stay = max(0.0, 2.0 * self.home_calm - 1.0) * self.settings.prices.cross_zone / CROSSING
-        keep = 1.0 if self.settings.pass_through else math.exp(-stay)
+        keep = math.exp(-stay)
         for server, share in zip(ready, two_stage([(s.zone, s.listed) for s in ready])):
             server.share = share if server.zone == zone else max(1, int(share * keep))
         self.ready = ready
@@ -294,13 +287,6 @@
         fresh, job.fresh = job.fresh, False
         allowed = self._allowed(job)
         denied = 0
-        if self.settings.pass_through and job.key and not job.tried and allowed is None:
-            # Packets may reach another relay later, which must find the same backend: u is hashed from
-            # (key, backend), so all relays draw the same head without talking.
-            head = max(ready, key=lambda s: math.log(mixed(job.key, s.id)) / s.share)
-            if job.mid_flow or self._afford(head, fresh):
-                return head
-            passed.append(head)
         for _ in range(HEAD_TRIES):
             server = ready[min(bisect(self.cumulative, rnd() * self.total), len(ready) - 1)]
             if server in passed or (allowed is not None and server not in allowed):
@@ -772,6 +758,15 @@
             self._closed(number, server)
             self.out.append(api.Move(number))
 
+    def _leave(self) -> None:
+        """Move what stands on draining backends, half of it a second.
+
+        Guards against a crowd that is cut off at once when such a backend stops, and comes again at once.
+        """
+        for server in list(self.serving.values()):
+            if server.state is BackendState.DRAINING:
+                self._thin(server, LEAVE_SHARE)
+
     def _level(self) -> None:
         """Move some of what stands on a backend that by its weight must carry more than it can.
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -119,6 +119,17 @@
     assert least <= clock.balancer._strikes(clock.balancer.servers[backend]) <= most
 
 
+def test_connections_leave_a_draining_backend_bit_by_bit() -> None:
+    """Guards against a crowd that is cut off at once when it stops: clients are told to move before."""
+    clock = Clock(relay(backends(2), tells_delay=False))
+    placed = open_connections(clock, range(40))
+    clock.step(api.BackendList(api.ListKind.CHANGES, 2, backends(1, state=api.BackendState.DRAINING)))
+    first = len(moves(clock.step(after=SECOND)))
+    left = len(moves([a for _ in range(6) for a in clock.step(after=SECOND)]))
+    assert 0.4 * placed[100] <= first <= 0.6 * placed[100]
+    assert first + left >= placed[100] - 1
+
+
 def test_full_backends_do_not_jam_the_relay() -> None:
     clock = Clock(relay(backends(50)))
     for n in range(20):
