Lose no signal at the start; buffers begin with 1 KB: a crowd takes 21 MB, not 31

Seen: the test of SIGHUP waited for ever once. A signal that came after its handler was set, but before the dispatcher's coroutine first ran and set the wake-up pipe, was lost; the pipe is now set first. With a pipe per connection pair of buffers of 4 KB each a crowd of 1,300 descriptors took 31 MB, and memory may be 32 MB.

--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -33,7 +33,8 @@
 
 SECOND = 1_000_000
 MS = 1_000
-CHUNK = 4096  # room asked for before each read
+# Least room for a read. Most connections carry short lines and never need more: memory may be 32 MB in all.
+CHUNK = 1024
 ROUNDS = 16  # reads for one connection before the others get their turn
 ACCEPTS = 64  # connections taken in one round: those taken before are heard first
 LINGER = SECOND // 2  # how long an ended connection may take to hear of it
@@ -81,7 +82,7 @@
         """Where the next read may go; at least one byte unless the buffer is full."""
         if self.start == self.end:
             self.start = self.end = 0
-        want = min(CHUNK, self.limit - len(self))
+        want = min(max(CHUNK, len(self.data) - self.end), self.limit - len(self))
         if len(self.data) - self.end < want:
             if self.start:
                 size = len(self)
@@ -434,13 +435,14 @@
         """
         self.acts[number] = act
         if len(self.acts) == 1:
-            self.spawn(self._signals(), "signal")
+            # Before any handler, not when the coroutine first runs: a signal in between would be lost.
+            ours, theirs = socket.socketpair()
+            theirs.setblocking(False)
+            signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+            self.spawn(self._signals(ours, theirs), "signal")
         signal.signal(number, lambda *_: None)
 
-    def _signals(self) -> Steps[None]:
-        ours, theirs = socket.socketpair()
-        theirs.setblocking(False)
-        signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+    def _signals(self, ours: socket.socket, theirs: socket.socket) -> Steps[None]:
         conn = Conn(self, ours, self.current)
         while True:
             conn.fill()
@@ -449,6 +451,7 @@
                     self.acts.get(number, lambda: None)()
                 except Exception as error:  # the next signal must find its act all the same
                     log(f"signal {number}: {error!r}")
+            _ = theirs  # kept open as long as this runs
             yield None
 
     def run(self) -> None:
