Control, figures and cordons: an address for staff, counters as statsd lines, servers out by hand

There was no second listener; the module knew no ban beside the list's states. Ruled out: the list as the place for the ban; a changed list and the server's restart would clear it (test). Also found: moves off a draining server waited for the next event, so quiet connections stayed; a timer of the module's now goes on with them.

--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -15,7 +15,7 @@
 
 from arrowseam import __version__
 from arrowseam.facade import Config, ConfigError, Facade, read_config
-from arrowseam.net import lines, nats
+from arrowseam.net import control, lines, nats
 from arrowseam.net.directory import Directory
 from arrowseam.net.health import Health
 from arrowseam.net.loop import Loop, clock, log, parse_address
@@ -25,7 +25,12 @@
 def read(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
     """The configuration, and the NATS front's file where there is one; raises ConfigError or OSError."""
     config = read_config(Path(path).read_bytes())
-    for what, text in (("listen", config.listen), ("discovery", config.directory)):
+    if not config.control:
+        config = replace(config, control=os.environ.get("EDGE_CONTROL", ""))
+    addresses = [("listen", config.listen), ("discovery", config.directory)]
+    if config.control:
+        addresses.append(("control", config.control))
+    for what, text in addresses:
         try:
             parse_address(text)
         except ValueError as error:
@@ -56,6 +61,11 @@
         )
         front = lines.LineFront(loop, config, relay)
         relay.listeners.append(loop.listen(parse_address(config.listen), "front", front.serve).close)
+        self.control: control.Control | None = None
+        if config.control:
+            self.control = control.Control(loop, relay)
+            loop.kept += control.KEPT
+            loop.listen(parse_address(config.control), "control", self.control.serve, urgent=True)
         self.nats_front: nats.NatsFront | None = None
         if second is not None:
             self.nats_front = nats.NatsFront(loop, config, second, relay)
@@ -76,10 +86,14 @@
         try:
             config, second = read(path, nats_path)
         except (OSError, ConfigError) as error:
+            self.relay.figures.reload_failure += 1
             log(f"reload: {error}; the old settings stay")
             return
+        self.relay.figures.reload_success += 1
         kept = [
-            key for key in ("name", "listen", "settings") if getattr(config, key) != getattr(self.config, key)
+            key
+            for key in ("name", "listen", "control", "settings")
+            if getattr(config, key) != getattr(self.config, key)
         ]
         if self.nats_front is not None and second is not None:
             old = self.nats_front.nats
--- a/arrowseam/api.py
+++ b/arrowseam/api.py
@@ -248,6 +248,15 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class Cordon:
+    """The operators take a backend out by hand, or put it back; whatever the list says meanwhile."""
+
+    backend: int
+    out: bool = True
+    at: int = 0  # put back then; 0 = now
+
+
 @dataclass(slots=True)
 class Timer:
     token: int
@@ -255,6 +264,7 @@
 
 Event: TypeAlias = (
     BackendList
+    | Cordon
     | Request
     | Adopted
     | Established
--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -50,8 +50,9 @@
     """A backend as this relay knows it."""
 
     __slots__ = (
-        "cell", "entry", "held", "id", "listed", "load", "open", "probers", "reported", "reported_at",
-        "share", "slow_at", "started", "state", "strikes", "struck_at", "tokens", "tokens_at", "zone",
+        "awaited", "back_at", "cell", "entry", "held", "id", "listed", "load", "open", "probers", "reported",
+        "reported_at", "share", "slow_at", "started", "state", "strikes", "struck_at", "tokens", "tokens_at",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.Backend) -> None:
@@ -64,6 +65,8 @@
         self.probers: list[Job] = []  # requests that wait for its probe
         self.reported = 0.0  # load asked over what it can do, by its last probe
         self.reported_at = -(1 << 62)
+        self.back_at = 0  # put back by hand: cold from then on, whatever the list knows of its start
+        self.awaited = False  # put back and not sent anything since
         self.follow(entry)
         self.forget(0)
 
@@ -72,6 +75,10 @@
         self.zone, self.cell, self.state = entry.zone, entry.cell, entry.state
         self.listed, self.started = scaled(entry.weight), entry.started
 
+    @property
+    def born(self) -> int:
+        return max(self.started, self.back_at)
+
     def forget(self, now: int) -> None:
         """A process that has started anew owes nothing to what its predecessor did."""
         self.strikes, self.struck_at = 0.0, now
@@ -114,6 +121,7 @@
 # Timer tokens: below 2^32 a request's id, above it the relay's own.
 T_LIST = 1 << 32
 T_HELD = T_LIST + 1
+T_LEAVE = T_LIST + 2
 T_PROBED = T_LIST << 1  # plus a request's id: its probes have had their time
 
 HEAD_TRIES = 12  # draws by rejection before the exact draw over all backends takes over
@@ -132,6 +140,9 @@
 HURRY = 0.25
 FORGIVE = 6 * SECOND  # a strike is forgiven over this span; 3 s and 12 s did worse on two sites of three
 PROVEN = 2 * SECOND  # a connection that breaks later than this was not shed for want of room
+AVOIDED = 3.0  # strikes from which on a backend counts as left out: an eighth of its traffic or less
+WELCOME = 2 * SECOND  # after so long unused, a backend that was put back is sent the next connection
+WELCOMES = 4.0  # from all relays together: it is cold
 STRIKE_LIMIT = 6.0  # halvings of the ration: what is left is the trickle that re-tests
 # Of the connections it holds at an overfull backend a relay moves this share at each note (one a second):
 # the backend is back within its capacity in a few seconds, and no crowd leaves at once.
@@ -176,6 +187,8 @@
         self.out: list[api.Action] = []
         self.log_after = 0
         self.servers: dict[int, Server] = {}
+        self.cordoned: set[int] = set()  # taken out by hand: no list and no restart clears it
+        self.back: dict[int, int] = {}  # put back by hand and not warm since, and when
         self.ready: list[Server] = []
         self.cumulative: list[int] = []
         self.total = 0
@@ -208,6 +221,7 @@
         fields = settings.report_fields
         self.report_field = fields.index("x0") if settings.limits.probing and "x0" in fields else -1
         self.level_at = 0
+        self.leave_due = False  # a timer to go on with moves is set
         self.capacity = sum(t.connections for t in settings.tenants) / QUOTA_PART  # connections, all relays'
         self.probe_tokens = 0.0
         self.probing: dict[int, Job] = {}  # requests that wait for probes
@@ -216,6 +230,7 @@
         self.list_failures = 0
         self.handlers = {
             api.BackendList: self._on_list,
+            api.Cordon: self._on_cordon,
             api.Request: self._on_request,
             api.Adopted: self._on_adopted,
             api.Established: self._on_established,
@@ -244,10 +259,14 @@
             if handler is None:
                 raise api.UsageError(f"not an event: {event!r}")
             handler(event)  # type: ignore[operator]
-        if now - self.level_at >= SECOND and not self.settings.tells_delay:
-            self.level_at = now
-            self._leave()
-            self._level()
+        if not self.settings.tells_delay:
+            if now - self.level_at >= SECOND:
+                self.level_at = now
+                self._leave()
+                self._level()
+            if not self.leave_due and any(self._leaving(s) for s in self.serving.values()):
+                self.leave_due = True  # quiet connections bring no event that would do
+                self.out.append(api.WakeAt(SECOND, T_LEAVE))
         return self.out
 
     def _log(self, text: str) -> None:
@@ -261,7 +280,7 @@
     def _reweigh(self) -> None:
         """Rebuild the shares and their running sums, when they are needed after a list that changed them."""
         self.changed = False
-        ready = [s for s in self.servers.values() if s.state is BackendState.READY]
+        ready = [s for s in self.servers.values() if self._usable(s)]
         ready.sort(key=lambda s: s.id)
         # A crossing has its price: what it is worth decides how much of another zone's share stays here.
         # The rest of the design's order is untouched, and evidence still overrides.
@@ -287,6 +306,9 @@
         passed = job.tried.copy()
         fresh, job.fresh = job.fresh, False
         allowed = self._allowed(job)
+        welcome = self._welcome(passed, allowed)
+        if welcome is not None:
+            return welcome
         denied = 0
         for _ in range(HEAD_TRIES):
             server = ready[min(bisect(self.cumulative, rnd() * self.total), len(ready) - 1)]
@@ -321,10 +343,32 @@
                 denied += 1
         return None
 
+    def _welcome(self, passed: list[Server], allowed: list[Server] | None) -> Server | None:
+        """A backend that was put back and has been sent nothing since: chance may pass it by for long.
+
+        One connection from this relay, or by chance where the relays are many.
+        """
+        for number, at in list(self.back.items()):
+            server = self.servers.get(number)
+            if self.now - at >= self.settings.rules.warm_up:
+                del self.back[number]
+            elif (
+                server is not None
+                and server.awaited
+                and self.now - at >= WELCOME
+                and self._usable(server)
+                and server not in passed
+                and (allowed is None or server in allowed)
+            ):
+                server.awaited = False
+                if self.random() * self.settings.relays < WELCOMES:
+                    return server
+        return None
+
     def _roomiest(self, job: Job) -> Server | None:
         """Of those probed for a request, the one with most room; none if none has any."""
         allowed = self._allowed(job)
-        picks = [s for s in job.picks if s.state is BackendState.READY and s not in job.tried]
+        picks = [s for s in job.picks if self._usable(s) and s not in job.tried]
         picks = [s for s in picks if s.reported < ROOM and self.now - s.reported_at <= 2 * SECOND]
         picks = [s for s in picks if allowed is None or s in allowed]
         picks.sort(key=lambda s: s.reported)
@@ -381,13 +425,13 @@
     def _warmth(self, server: Server) -> float:
         """The share of its capacity that a backend surely has, by its age."""
         rules = self.settings.rules
-        age = self.now - server.started
+        age = self.now - server.born
         if age >= rules.warm_up:
             return 1.0
         return rules.cold_share + (1.0 - rules.cold_share) * max(0, age) / rules.warm_up
 
     def _rationed(self, server: Server) -> bool:
-        return self._strikes(server) > 0.0 or (server.started > 0 and self._warmth(server) < 1.0)
+        return self._strikes(server) > 0.0 or (server.born > 0 and self._warmth(server) < 1.0)
 
     def _afford(self, server: Server, fresh: bool) -> bool:
         """Ration what a cold or struck backend is sent, so that all relays alike stay within its budget.
@@ -401,7 +445,7 @@
         if not self._rationed(server):
             return True
         strikes = self._strikes(server)
-        warmth = self._warmth(server) if server.started else 1.0
+        warmth = self._warmth(server) if server.born else 1.0
         rules = self.settings.rules
         # What of its design traffic a backend may get: while the fleet shows no strain it runs at no more
         # than about half of what it can do, so the design traffic is that much further from the limit.
@@ -427,7 +471,7 @@
             known = [self._strikes(s) for s in self.serving.values()]
             self.prior = max(0.0, sum(known) / len(known) - 2.0) if known else 0.0
             self.struck = {n: s for n, s in self.struck.items() if self._strikes(s) > 0.0}
-            seen = [s for s in (self.serving | self.struck).values() if s.state is BackendState.READY]
+            seen = [s for s in (self.serving | self.struck).values() if self._usable(s)]
             bad = [s for s in seen if self._strikes(s) > 0.0]
             struck, home = sum(s.share for s in bad), sum(s.zone == self.settings.zone for s in bad)
             if self.prior > 0.0:  # then all the rest counts as struck too
@@ -575,6 +619,7 @@
         job.tried.append(server)
         self.flying.add(job.id)
         self.sent_at = self.now
+        server.awaited = False
         self._hold(job, server)
         self.out.append(api.Send(job.id, server.id, wait))
         return None
@@ -759,13 +804,16 @@
             self._closed(number, server)
             self.out.append(api.Move(number))
 
+    def _leaving(self, server: Server) -> bool:
+        return server.state is BackendState.DRAINING or server.id in self.cordoned
+
     def _leave(self) -> None:
         """Move what stands on draining backends, half of it a second.
 
         Guards against a crowd that is cut off at once when such a backend stops, and comes again at once.
         """
         for server in list(self.serving.values()):
-            if server.state is BackendState.DRAINING:
+            if self._leaving(server):
                 self._thin(server, LEAVE_SHARE)
 
     def _level(self) -> None:
@@ -821,6 +869,7 @@
             if known is None:
                 self.servers[entry.backend] = fresh = Server(entry)
                 fresh.forget(self.now)
+                fresh.back_at = self.back.get(fresh.id, 0)
                 continue
             if entry is known.entry and known.state is entry.state:
                 continue
@@ -829,11 +878,41 @@
             known.follow(entry)
         self.changed = True
 
+    # --- taken out by hand --------------------------------------------------------------------------------
+
+    def _usable(self, server: Server) -> bool:
+        return server.state is BackendState.READY and server.id not in self.cordoned
+
+    def _on_cordon(self, event: api.Cordon) -> None:
+        """Leave a backend out, or put it back: cold, and free of what was held against it before.
+
+        It may have been restarted meanwhile and the list may not have said so yet.
+        """
+        server = self.servers.get(event.backend)
+        if event.out:
+            self.cordoned.add(event.backend)
+            self.back.pop(event.backend, None)
+        elif event.backend in self.cordoned or event.at:
+            self.cordoned.discard(event.backend)
+            self.back[event.backend] = event.at or self.now
+            if server is not None:
+                server.forget(self.now)
+                server.back_at, server.awaited = self.back[event.backend], True
+                self.struck.pop(server.id, None)
+        self.changed = True
+
+    def avoided(self) -> int:
+        """How many backends of the list are left out now, by hand or by what is held against them."""
+        listed = [s for s in self.servers.values() if s.state is not BackendState.GONE]
+        return sum(not self._usable(s) or self._strikes(s) >= AVOIDED for s in listed)
+
     def _on_timer(self, event: api.Timer) -> None:
         if event.token == T_LIST:
             if self.settings.subscribe and not self.subscribed and not self.asking:
                 self.asking = True
                 self.out.append(api.Watch(True))
+        elif event.token == T_LEAVE:
+            self.leave_due = False
         elif event.token == T_HELD:
             self._on_look()
         elif event.token >= T_PROBED:
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -29,6 +29,7 @@
     "unreachable": api.Outcome.CONNECT_FAILED,
     "reset": api.Outcome.RESET,
     "moved": api.Outcome.CANCELLED,
+    "unsent": api.Outcome.MOOT,  # called off before its opening was written
 }
 KINDS = {
     "changes": api.ListKind.CHANGES,
@@ -54,6 +55,7 @@
 
     name: str
     listen: str
+    control: str  # empty: no control
     directory: str
     seed: int
     sockets: int
@@ -64,6 +66,10 @@
     classes: dict[str, int]
     tenants: dict[str, int]
 
+    @property
+    def class_names(self) -> list[str]:
+        return list(self.classes)
+
     @property
     def longest_deadline(self) -> int:
         return max(c.deadline for c in self.settings.classes)
@@ -82,7 +88,7 @@
         # Neither wire of ours says that messages are slow at a server: the module must not wait to be told.
         settings = replace(parse_settings(json.dumps(raw).encode()), tells_delay=False)
         limits = _table(doc, "limits")
-        texts = {key: doc.get(key, "") for key in ("name", "listen", "discovery", "seed")}
+        texts = {key: doc.get(key, "") for key in ("name", "listen", "control", "discovery", "seed")}
         for key, value in texts.items():
             if not isinstance(value, str):
                 raise WireError(f"configuration: {key} must be text")
@@ -93,6 +99,7 @@
         return Config(
             name=texts["name"],
             listen=texts["listen"],
+            control=texts["control"],
             directory=texts["discovery"],
             seed=seed,
             sockets=_whole(limits, "sockets", 1024),
@@ -200,6 +207,8 @@
     returned: bool = False
     server: str = ""  # where it runs already; empty for a new one
     name: str = ""
+    klass_name: str = ""
+    over: bool = False  # all that is left is that its consumer hears of it
     left: Callable[[], bool] = bool
     wake: Callable[[], None] = lambda: None
     # the facade's own
@@ -208,6 +217,7 @@
     attempt: int = -1
     backend: int = 0
     called_at: int = 0
+    written: bool = False  # the opening of the attempt under way, to its last byte
     known: bool = False  # to the module
     open: bool = False
     move: bool = False  # the module wants its consumer to come again
@@ -334,7 +344,11 @@
             if invocation.answers:
                 answer = invocation.answers.popleft()
                 if isinstance(answer, Call):
-                    invocation.called_at = self.clock()
+                    invocation.called_at, invocation.written = self.clock(), False
+                    if invocation.backend in self.balancer.cordoned:
+                        # Taken out since the module chose it; it is asked for another.
+                        self.report(invocation, "unsent")
+                        continue
                 return answer
             if self.clock() >= invocation.due:
                 self.gone(invocation)
@@ -377,6 +391,47 @@
         if invocation.open and invocation.known and math.isfinite(load):
             self._feed(api.LoadNote(invocation.number, invocation.attempt, invocation.backend, load))
 
+    def cordon(self, server: str, out: bool, at: int = 0) -> bool:
+        """The operators take a server out, or put it back (at a time that another process tells); whether
+        the server is known.
+
+        Calls there that have written nothing yet are called off.
+        """
+        backend = self.numbers.get(server)
+        if backend is None:
+            return False
+        self.names[backend] = server
+        self._feed(api.Cordon(backend, out, at))
+        if out:
+            for invocation in self.invocations.values():
+                if invocation.backend == backend and not invocation.open and not invocation.written:
+                    invocation.call_off = True
+                    invocation.wake()
+        return True
+
+    def know(self, server: str) -> None:
+        """Give a server a number before any list has named it."""
+        self.numbers.setdefault(server, len(self.numbers) + 1)
+
+    @property
+    def cordoned(self) -> list[str]:
+        return sorted(self.names[backend] for backend in self.balancer.cordoned)
+
+    @property
+    def back(self) -> dict[str, int]:
+        """Servers put back by hand that may still be cold, and when."""
+        return {self.names[backend]: at for backend, at in self.balancer.back.items()}
+
+    @property
+    def listed(self) -> int:
+        """Servers in the list held."""
+        return sum(state is not api.BackendState.GONE for state in self.states.values())
+
+    @property
+    def avoided(self) -> int:
+        """Servers in the list that the module leaves out now."""
+        return self.balancer.avoided()
+
     def listing(self, listing: Listing | None) -> None:
         """News from the directory; None for a call that failed."""
         if listing is None:
--- /dev/null
+++ b/arrowseam/net/control.py
@@ -0,0 +1,98 @@
+"""Control: what on-call staff and their tools ask of a running proxy, a line a connection.
+
+It owns the words of that second address. It must never decide anything, wait for anything but its caller's
+line, or be in the way of consumers.
+
+    health            ACK once this process can serve, else NAK
+    counters          the figures, a line each, then a line ``--``
+    cordon ID         nothing more goes to server ID; ACK, or NAK where no list has named it
+    uncordon ID       server ID may serve again
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from arrowseam.facade import Facade
+from arrowseam.net.loop import SECOND, Conn, Loop, Steps, clock, log
+from arrowseam.relay import Relay
+
+CALL_MAX = 512
+CALLERS = 16  # at once; the oldest that has said nothing whole makes room for the next
+KEPT = CALLERS + 8  # descriptors kept back from consumers
+SAY_WITHIN = 5 * SECOND  # who has said no whole line by then is closed
+HEAR_WITHIN = SECOND
+
+
+def render(relay: Relay) -> bytes:
+    """The figures as statsd writes them."""
+    figures, facade = relay.figures, relay.facade
+    # Classes of now and those that have been, each with all three from the start.
+    names = list(relay.config.classes) + sorted({name for name, _ in figures.answers})
+    lines = [
+        f"edge.replies.{name}.{how}:{figures.answers[name, how]}|c"
+        for name in dict.fromkeys(names)
+        for how in ("success", "overload", "error")
+    ]
+    lines += [
+        f"edge.dispatches:{figures.dispatches}|c",
+        f"edge.concurrent:{relay.concurrent}|g",
+        f"edge.targets:{facade.listed}|g",
+        f"edge.targets_disabled:{facade.avoided}|g",
+        f"edge.reload_success:{figures.reload_success}|c",
+        f"edge.reload_failure:{figures.reload_failure}|c",
+    ]
+    return "".join(f"{line}\n" for line in [*lines, "--"]).encode()
+
+
+class Control:
+    def __init__(self, loop: Loop, relay: Relay) -> None:
+        self.loop, self.relay = loop, relay
+        self.waiting: dict[Conn, None] = {}  # callers that have not said a whole line, oldest first
+        self.serving: Callable[[], bool] = lambda: bool(relay.facade.listed) and not relay.draining
+        # What a cordon must reach besides the module; told the server and whether it is out.
+        self.told: Callable[[str, bool], None] = lambda server, out: None
+
+    @property
+    def facade(self) -> Facade:
+        return self.relay.facade
+
+    def serve(self, conn: Conn) -> Steps[None]:
+        conn.inbox.limit = CALL_MAX
+        if len(self.waiting) >= CALLERS:
+            oldest = next(iter(self.waiting))
+            del self.waiting[oldest]
+            oldest.close()
+            self.loop.wake(oldest.owner)
+        self.waiting[conn] = None
+        try:
+            call = yield from self._call(conn)
+        finally:
+            self.waiting.pop(conn, None)
+        if call is None:
+            return  # half a call is none: an id that was cut may be another server's
+        answer = self.answer(call)
+        due = clock() + HEAR_WITHIN
+        yield from conn.send(answer, due)
+        yield from conn.part(due)
+
+    def _call(self, conn: Conn) -> Steps[bytes | None]:
+        line = yield from conn.line(CALL_MAX, clock() + SAY_WITHIN)
+        if line is None:
+            return b"" if conn.inbox.full else None  # too long for a call
+        return line.removesuffix(b"\n")
+
+    def answer(self, call: bytes) -> bytes:
+        words = call.decode("ascii", "replace").split()
+        match words:
+            case ["health"]:
+                return b"ACK\n" if self.serving() else b"NAK not serving\n"
+            case ["counters"]:
+                return render(self.relay)
+            case ["cordon" | "uncordon" as what, server]:
+                if not self.facade.cordon(server, what == "cordon"):
+                    return b"NAK unknown server\n"
+                log(f"control: {what} {server}")
+                self.told(server, what == "cordon")
+                return b"ACK\n"
+        return b"NAK unknown call\n"
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -93,6 +93,7 @@
         returned=values.get("again") == "1",
         server=values.get("at", ""),
         name=opening.name,
+        klass_name=values["c"],
     )
 
 
@@ -141,6 +142,7 @@
         if not (yield from server.send(self.opening.onward(wait_ms), due)):
             # Its last byte was not written, so it has never run.
             return "unreachable"
+        self.sent()
         while True:
             server.fill()
             at = server.inbox.find(b"\n")
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -280,10 +280,10 @@
 class Task:
     """A coroutine as the loop runs it."""
 
-    __slots__ = ("due", "gen", "name", "queued")
+    __slots__ = ("due", "gen", "name", "queued", "urgent")
 
-    def __init__(self, gen: Steps[None], name: str) -> None:
-        self.gen, self.name = gen, name
+    def __init__(self, gen: Steps[None], name: str, urgent: bool = False) -> None:
+        self.gen, self.name, self.urgent = gen, name, urgent
         self.due: int | None = None
         self.queued = False
 
@@ -297,6 +297,8 @@
         self.conns: dict[int, Conn | Task] = {}
         self.stale: set[int] = set()
         self.ready: deque[Task] = deque()
+        self.urgent: deque[Task] = deque()  # run before the others in each round: those of control
+        self.kept = 0  # descriptors that consumers may not have: for control and the other process
         # Connections that may be closed to make room, oldest first, each with the last word it is owed:
         # those that have not said yet what they want, and (with none) those that have had their answer.
         self.expendable: dict[Conn, bytes] = {}
@@ -334,7 +336,7 @@
 
         A placed connection takes two; the rest is for the directory, the log and calls under way.
         """
-        return self.spare < 0 or len(self.conns) + 24 + self.sockets // 32 >= self.sockets
+        return self.spare < 0 or len(self.conns) + self.kept + 24 + self.sockets // 32 >= self.sockets
 
     def make_room(self) -> bool:
         """Whether there is room for one more connection, once those that can be spared have gone.
@@ -387,22 +389,24 @@
             return None
         return conn
 
-    def listen(self, address: Address, name: str, serve: Callable[[Conn], Steps[None]]) -> Listener:
-        listener = Listener(self, address, name, serve)
+    def listen(
+        self, address: Address, name: str, serve: Callable[[Conn], Steps[None]], urgent: bool = False
+    ) -> Listener:
+        listener = Listener(self, open_listener(address), name, serve, urgent)
         self.listeners.append(listener)
         return listener
 
     # --- coroutines ---
 
-    def spawn(self, gen: Steps[None], name: str) -> Task:
-        task = Task(gen, name)
+    def spawn(self, gen: Steps[None], name: str, urgent: bool = False) -> Task:
+        task = Task(gen, name, urgent)
         self.wake(task)
         return task
 
     def wake(self, task: Task | None) -> None:
         if task is not None and not task.queued:
             task.queued = True
-            self.ready.append(task)
+            (self.urgent if task.urgent else self.ready).append(task)
 
     def rest(self) -> Steps[None]:
         """Let all the others have a turn. Guards against a peer that sends as fast as it is answered."""
@@ -463,7 +467,7 @@
                 due = self.timers[0][0]
             wait = -1.0 if due is None else max(0.0, (due - clock()) / SECOND)
             self.stale.clear()
-            for fd, what in self.epoll.poll(0 if self.ready else wait, 256):
+            for fd, what in self.epoll.poll(0 if self.ready or self.urgent else wait, 256):
                 found = None if fd in self.stale else self.conns.get(fd)
                 if isinstance(found, Conn):
                     if what & select.EPOLLOUT or what & (select.EPOLLERR | select.EPOLLHUP):
@@ -480,26 +484,43 @@
                 at, _, task = heapq.heappop(self.timers)
                 if task.due == at:
                     self.wake(task)
+            for _ in range(len(self.urgent)):
+                self.resume(self.urgent.popleft())
             for _ in range(len(self.ready)):
                 self.resume(self.ready.popleft())
             due = self.turn(clock())
 
 
+def open_listener(address: Address) -> socket.socket:
+    """A listening socket; another process of this proxy may hold the address too."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+        sock.listen(1024)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Listener:
     """Accepts some of the backlog each round and all of it at its end: what is in it counts as taken."""
 
-    def __init__(self, loop: Loop, address: Address, name: str, serve: Callable[[Conn], Steps[None]]) -> None:
-        self.loop, self.name, self.serve = loop, name, serve
-        self.sock = socket.socket(
-            socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM
-        )
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(1024)
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        name: str,
+        serve: Callable[[Conn], Steps[None]],
+        urgent: bool = False,
+    ) -> None:
+        self.loop, self.sock, self.name, self.serve, self.urgent = loop, sock, name, serve, urgent
         self.sock.setblocking(False)
         self.waiting = False
         self.address: Address = self.sock.getsockname()[:2]
-        task = loop.spawn(self._run(), f"{name} listener")
+        task = loop.spawn(self._run(), f"{name} listener", urgent)
         loop.conns[self.sock.fileno()] = task
         loop.epoll.register(self.sock.fileno(), select.EPOLLIN)
 
@@ -530,7 +551,7 @@
                 log(f"{self.name} listener: {error}; waiting for a connection to end")
                 return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = self.loop.spawn(iter(()), self.name)  # type: ignore[arg-type]
+            task = self.loop.spawn(iter(()), self.name, self.urgent)  # type: ignore[arg-type]
             conn = Conn(self.loop, sock, task)
             conn.writable = conn.readable = True
             task.gen = self._one(conn)
--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -303,6 +303,7 @@
                             hello = b"CONNECT " + self.connect + b"\r\nPING\r\n"
                             if not (yield from server.send(hello, due)):
                                 return "unreachable"
+                            self.sent()
                     elif op.verb == b"PONG" and sent:
                         self._established(server)
                         return "up"
@@ -422,6 +423,7 @@
         yield from self.relay.serve(
             Invocation(
                 klass=place[0],
+                klass_name=self.config.class_names[place[0]],
                 tenant=place[1],
                 key=int.from_bytes(blake2b(str(name).encode(), digest_size=8).digest(), "big"),
                 due=clock() + self.config.settings.classes[place[0]].deadline,
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -9,6 +9,7 @@
 
 import random
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Callable
 
 from arrowseam.facade import Call, Config, Facade, Invocation, Left, Rejection
@@ -30,6 +31,7 @@
 
     passage: Passage | None = None  # once it is established
     early = 16384  # bytes that a server may say before it is passed through
+    sent: Callable[[], None] = staticmethod(lambda: None)  # the opening is wholly written to a server
 
     def __init__(self, loop: Loop, conn: Conn, connect_timeout: int) -> None:
         self.loop, self.conn = loop, conn
@@ -119,11 +121,24 @@
         self.conn.close()
 
 
+class Figures:
+    """What has happened since the process began, counted where it happens.
+
+    An invocation counts once, under its class's name, so that a class that is dropped keeps its figures.
+    """
+
+    def __init__(self) -> None:
+        self.answers: Counter[tuple[str, str]] = Counter()  # by class and success, overload or error
+        self.dispatches = 0  # openings written to servers to their last byte
+        self.reload_success = self.reload_failure = 0
+
+
 class Relay:
     def __init__(self, loop: Loop, config: Config, facade: Facade) -> None:
         self.loop, self.config, self.facade = loop, config, facade
         self.ask: Callable[[bool], None] = lambda whole: None
         self.probe: Callable[[str], object] = lambda server: None
+        self.figures = Figures()
         self.live: dict[int, Invocation] = {}  # every invocation that is not over
         self.count = 0
         self.draining = False
@@ -147,6 +162,20 @@
             invocation.wake()
         return turn.wake_at
 
+    def dispatched(self, invocation: Invocation) -> None:
+        """A front has written the whole opening to a server."""
+        invocation.written = True
+        self.figures.dispatches += 1
+
+    def _answered(self, invocation: Invocation, how: str) -> None:
+        self.figures.answers[invocation.klass_name, how] += 1
+        invocation.over = how != "success"
+
+    @property
+    def concurrent(self) -> int:
+        """Connections taken and not ended; one that only hears our last word has ended for its peers."""
+        return sum(not invocation.over for invocation in self.live.values())
+
     # --- one invocation ---
 
     def serve(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
@@ -155,12 +184,14 @@
         self.live[number] = invocation
         task = self.loop.current
         invocation.wake = lambda: self.loop.wake(task)
+        consumer.sent = lambda: self.dispatched(invocation)
         try:
             yield from self._place(invocation, consumer)
         except Exception:
             # A fault here must not leave the module holding what is gone, nor a consumer without its answer.
             self.facade.gone(invocation)
             if not invocation.open:
+                self._answered(invocation, "error")
                 yield from consumer.fail()
             raise
         finally:
@@ -185,24 +216,29 @@
                     spent = (clock() - invocation.called_at) // MS
                     log(f"call: {invocation.name} at {answer.server}: {end} after {spent} ms")
                 if end == "up":
+                    self._answered(invocation, "success")
                     self.facade.report(invocation, "up")
                     yield from self._hold(invocation, consumer)
                     return
                 if end == "ok":
+                    self._answered(invocation, "success")
                     self.facade.report(invocation, "ok")
+                    invocation.over = True
                     yield from consumer.finish(clock() + SECOND)
                     return
                 if end == "off":  # called off, or the consumer has left, which pick sees
-                    end = "moved"
+                    end = "moved" if invocation.written else "unsent"
                 self.facade.report(invocation, end)
             elif isinstance(answer, Left):
                 return
             elif isinstance(answer, Rejection):
                 if self.trace:
                     log(f"rejection: {invocation.name} for {answer.retry_ms} ms")
+                self._answered(invocation, "overload")
                 yield from consumer.reject(answer.retry_ms)
                 return
             else:
+                self._answered(invocation, "error")
                 yield from consumer.fail()
                 return
 
@@ -213,10 +249,12 @@
             if address is not None:
                 end = yield from consumer.call(invocation.server, address, invocation.due, invocation.left)
                 if end == "up":
+                    self._answered(invocation, "success")
                     self.facade.adopt(invocation)
                     return True
                 log(f"standing connection {invocation.name} at {invocation.server}: {end}")
             if clock() + AGAIN >= invocation.due:
+                self._answered(invocation, "error")
                 yield from consumer.fail()
                 return False
             again = clock() + AGAIN
@@ -236,6 +274,7 @@
                     waited = "" if mute is None else f", unanswered for {(clock() - mute) // MS} ms"
                     log(f"end: {invocation.name} at {self.facade.names[invocation.backend]}: {end}{waited}")
                 self.facade.report(invocation, "moved" if end == "left" else end)
+                invocation.over = True
                 yield from consumer.finish(clock() + SECOND)
                 return
             mute = consumer.mute_since()
@@ -243,6 +282,7 @@
                 # Nothing was said and nothing comes: guards against a machine that has vanished silently.
                 log(f"mute: {invocation.name} moved off a server that brings nothing back")
                 self.facade.report(invocation, "reset")
+                invocation.over = True
                 yield from consumer.farewell(clock() + SECOND)
                 return
             if invocation.move:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,235 @@
+"""Control, figures and cordons, on real sockets and on both fronts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import pytest
+from helpers import MS, SECOND, START, Clock, ask, backends, ended, full, relay, sends
+from network import World
+
+from arrowseam import api
+from arrowseam.net.loop import Conn, clock
+
+
+@pytest.fixture(params=["lines", "nats"])
+def world(request: pytest.FixtureRequest) -> Iterator[Callable[..., World]]:
+    made: list[World] = []
+
+    def make(*modes: str, **fields: object) -> World:
+        made.append(World(request.param, *modes, **fields))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.mark.parametrize(
+    ("call", "answer"),
+    [
+        (b"health\r\n", b"ACK"),
+        (b"health\n", b"ACK"),
+        (b"cordon s0\r\n", b"ACK"),
+        (b"uncordon s0\r\n", b"ACK"),
+        (b"cordon s9\r\n", b"NAK"),
+        (b"uncordon s9\r\n", b"NAK"),
+        (b"cordon\r\n", b"NAK"),
+        (b"cordon s0 s1\r\n", b"NAK"),
+        (b"reboot\r\n", b"NAK"),
+        (b"\r\n", b"NAK"),
+        (b"\xff\xfe\r\n", b"NAK"),
+        (b"x" * 5000, b"NAK"),
+    ],
+)
+def test_calls(call: bytes, answer: bytes):
+    w = World("lines", "up")
+    assert w.control(call).startswith(answer)
+    w.close()
+
+
+def test_health_says_no_without_a_list_and_while_it_drains():
+    w = World("lines", "up", known=False)
+    assert w.control(b"health\n").startswith(b"NAK")
+    w.tell(s0={})
+    w.until(lambda: w.relay.facade.listed)
+    assert w.control(b"health\n").startswith(b"ACK")
+    w.relay.draining = True
+    assert w.control(b"health\n").startswith(b"NAK")
+    w.close()
+
+
+def test_callers_who_say_nothing_or_half_a_call_block_nobody():
+    """And half a call does nothing, also when its caller leaves."""
+    w = World("lines", "up")
+    mute = [w.call(b"") for _ in range(30)] + [w.call(b"cordon s0") for _ in range(3)]
+    w.run(0.05)
+    began = clock()
+    assert w.control(b"health\n").startswith(b"ACK")
+    assert clock() - began < SECOND
+    assert len(w.proxy.control.waiting) <= 16
+    w.until(lambda: sum(answer() is not None for answer in mute) >= 17)
+    assert not w.relay.facade.cordoned
+    w.close()
+
+
+def test_control_is_answered_before_all_that_waits(world):
+    """Answers are due within a second at any load: what is ready for control runs first in each round."""
+    w, order = world("up"), []
+
+    def note(name: str):
+        order.append(name)
+        yield None
+
+    for n in range(5):
+        w.loop.spawn(note(f"consumer {n}"), "consumer")
+    w.loop.spawn(note("control"), "control", urgent=True)
+    w.run(0.02)
+    assert order[0] == "control" and len(order) == 6
+
+
+def test_control_has_descriptors_when_consumers_have_none(world):
+    w = world("up")
+    w.loop.sockets = len(w.loop.conns) + 10
+    refused = w.consumer()
+    w.until(lambda: refused.ended_at)
+    assert refused.has("rejected") and w.control(b"health\n") == b"ACK\n"
+
+
+def test_figures_agree_with_what_the_peers_saw(world):
+    w = world("up", "busy", "error")
+    served = w.up(12)
+    w.servers[0].mode = "busy"
+    turned = [w.consumer(next(w.numbers), b"resident") for _ in range(5)]
+    w.until(lambda: all(c.ended_at for c in turned))
+    found = w.figures()
+    assert found["edge.replies.tech.success"] == len(served)
+    assert found["edge.replies.resident.overload"] == sum(c.has("rejected") for c in turned)
+    assert found["edge.replies.resident.error"] == sum(c.has("failed") for c in turned)
+    words = b"OPEN " if w.wire == "lines" else b"CONNECT "
+    heard = sum(words in got for server in w.servers for got in server.heard)
+    assert found["edge.dispatches"] == heard
+    assert found["edge.concurrent"] == len(served) and found["edge.targets"] == 3
+    served[0].conn.close()
+    w.until(lambda: len(w.relay.live) == len(served) - 1)
+    assert w.figures()["edge.concurrent"] == len(served) - 1
+
+
+def test_a_cordoned_server_is_sent_nothing_and_its_consumers_are_moved(world):
+    w = world("up", "up")
+    w.up(12)
+    before = len(w.servers[0].heard)
+    assert before
+    for _ in range(2):
+        assert w.control(b"cordon s0\r\n") == b"ACK\n"
+    assert w.figures()["edge.targets_disabled"] == 1
+    # Neither a list nor a restart of the server ends it.
+    w.tell(s0={"startedAtMs": 1_700_000_000_000}, s1={})
+    w.until(lambda: any("since=2" in target for _, target in w.calls))
+    w.up(10)
+    w.until(lambda: not w.servers[0].live, 8)
+    assert len(w.servers[0].heard) == before
+    assert w.control(b"uncordon s0\r\n") == b"ACK\n"  # one call back undoes both
+    assert w.figures()["edge.targets_disabled"] == 0
+    w.up(20)
+    w.until(lambda: len(w.servers[0].heard) > before)
+
+
+def test_a_call_that_has_written_nothing_is_called_off_by_a_cordon(world):
+    w = world("up", "up")
+    picked = []
+    address = w.relay.address
+
+    def watched(server: str):
+        picked.append(server)
+        if len(picked) == 1:
+            assert w.relay.facade.cordon(server, True)
+        return address(server)
+
+    w.relay.address = watched
+    consumer = w.consumer()
+    w.until(lambda: consumer.answers)
+    assert consumer.has("up") and picked[0] != picked[1]
+    first = w.servers[int(picked[0][1])]
+    assert not any(b"OPEN" in got or b"CONNECT" in got for got in first.heard)
+    assert not w.relay.facade.balancer.struck  # it is no fault of the server's
+
+
+def test_an_attempt_that_waits_for_its_turn_goes_elsewhere_after_a_cordon(world):
+    w = world("up", "up")
+    facade, feed = w.relay.facade, w.relay.facade._feed
+    chosen: list[str] = []
+
+    def once(*events: object) -> None:
+        feed(*events)
+        if isinstance(events[0], api.Request) and not chosen:
+            (invocation,) = facade.invocations.values()
+            chosen.append(facade.names[invocation.backend])
+            facade.cordon(chosen[0], True)
+
+    facade._feed = once
+    consumer = w.consumer()
+    w.until(lambda: consumer.answers)
+    assert consumer.has("up") and not w.servers[int(chosen[0][1])].heard
+
+
+# --- the module by itself ---------------------------------------------------------------------------------
+
+
+def test_what_is_cordoned_stays_out_whatever_the_list_says():
+    balancer = relay(backends(2))
+    balancer.handle(START, [api.Cordon(100)])
+    restarted = api.Backend(100, started=START + 1)
+    lists = [
+        full((restarted, api.Backend(101))),
+        api.BackendList(api.ListKind.CHANGES, 3, (api.Backend(100, state=api.BackendState.GONE),)),
+        api.BackendList(api.ListKind.CHANGES, 4, (restarted,)),
+    ]
+    for n, told in enumerate(lists):
+        balancer.handle(START + n, [told])
+        asked = balancer.handle(START + n, [ask(100 * n + k) for k in range(30)])
+        assert {send.backend for send in sends(asked)} == {101}
+
+
+def test_after_the_call_back_old_strikes_are_gone_but_the_server_is_cold():
+    clock = Clock(relay(backends(2)))
+    balancer = clock.balancer
+    struck = [s for s in sends(clock.step(*[ask(n) for n in range(40)])) if s.backend == 100]
+    clock.step(*[ended(send, api.Outcome.RESET) for send in struck])
+    assert balancer._strikes(balancer.servers[100]) > 0
+    clock.step(api.Cordon(100), api.Cordon(100))
+    assert balancer.avoided() == 1
+    clock.step(api.Cordon(100, out=False), after=SECOND)
+    server = balancer.servers[100]
+    assert balancer.avoided() == 0 and balancer._strikes(server) == 0
+    assert balancer._warmth(server) == balancer.settings.rules.cold_share
+    clock.step(api.Cordon(100, out=False), after=5 * SECOND)  # nothing to undo: the age goes on
+    assert balancer._warmth(server) > balancer.settings.rules.cold_share
+
+
+def test_a_server_that_was_put_back_is_used_within_five_seconds():
+    """By chance alone it may be passed by for longer."""
+    for seed in range(30):
+        clock = Clock(relay(backends(60), seed=seed))
+        clock.step(api.Cordon(100))
+        clock.step(api.Cordon(100, out=False), after=2 * SECOND)
+        used = [clock.step(ask(n), after=500 * MS) for n in range(9)]
+        assert any(send.backend == 100 for actions in used for send in sends(actions))
+
+
+def test_many_relays_together_do_not_push_over_what_was_put_back():
+    first = 0
+    for seed in range(48):
+        clock = Clock(relay(backends(60), seed=seed, relays=48, relay=0))
+        clock.step(api.Cordon(100))
+        clock.step(api.Cordon(100, out=False), after=2 * SECOND)
+        first += sum(send.backend == 100 for send in sends(clock.step(ask(1), after=2 * SECOND)))
+    assert 0 < first <= 12
+
+
+def test_all_descriptors_of_a_caller_are_given_back():
+    w = World("lines", "up")
+    before = sum(isinstance(c, Conn) for c in w.loop.conns.values())
+    w.control(b"health\n")
+    w.until(lambda: sum(isinstance(c, Conn) for c in w.loop.conns.values()) == before)
+    w.close()
