Upgrades: a new process takes over the listening sockets and state of the old one

Handing over what stands is next. Ruled out: resets at the listener (none), the list (handed over; the new one watches on from its version). Tests: a crowd during the take-over, a new process that dies first, cordons over upgrade, overlap and crash, an id in use at the other process, the list, the socket's mode and path.

--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
@@ -15,10 +16,20 @@
 
 from arrowseam import __version__
 from arrowseam.facade import Config, ConfigError, Facade, read_config
-from arrowseam.net import control, lines, nats
+from arrowseam.net import control, lines, nats, upgrade
 from arrowseam.net.directory import Directory
 from arrowseam.net.health import Health
-from arrowseam.net.loop import Loop, clock, log, parse_address
+from arrowseam.net.loop import (
+    Address,
+    Conn,
+    Listener,
+    Loop,
+    Steps,
+    clock,
+    log,
+    open_listener,
+    parse_address,
+)
 from arrowseam.relay import Relay
 
 
@@ -50,8 +61,17 @@
 class Proxy:
     """The parts of one proxy, each told of the ones it needs: one core for both fronts."""
 
-    def __init__(self, loop: Loop, config: Config, second: nats.NatsConfig | None = None) -> None:
-        self.loop, self.config = loop, config
+    def __init__(
+        self,
+        loop: Loop,
+        config: Config,
+        second: nats.NatsConfig | None = None,
+        station: upgrade.Station | None = None,
+        offer: upgrade.Offer | None = None,
+    ) -> None:
+        if offer is not None and isinstance(offer.state.get("list"), dict):
+            config = replace(config, known=offer.state["list"])
+        self.loop, self.config, self.offer = loop, config, offer
         facade = Facade(config, clock)
         self.relay = relay = Relay(loop, config, facade)
         self.directory = Directory(loop, config, facade)
@@ -59,24 +79,76 @@
         relay.probe = lambda server: loop.spawn(
             lines.probe(loop, facade, server, relay.address(server)), "probe"
         )
-        front = lines.LineFront(loop, config, relay)
-        relay.listeners.append(loop.listen(parse_address(config.listen), "front", front.serve).close)
+        self.front = front = lines.LineFront(loop, config, relay)
+        relay.listeners.append(self.listen(parse_address(config.listen), "front", front.serve).close)
         self.control: control.Control | None = None
         if config.control:
             self.control = control.Control(loop, relay)
             loop.kept += control.KEPT
-            loop.listen(parse_address(config.control), "control", self.control.serve, urgent=True)
+            self.listen(parse_address(config.control), "control", self.control.serve, urgent=True)
         self.nats_front: nats.NatsFront | None = None
         if second is not None:
             self.nats_front = nats.NatsFront(loop, config, second, relay)
-            relay.listeners.append(loop.listen(second.listen, "nats", self.nats_front.serve).close)
+            relay.listeners.append(self.listen(second.listen, "nats", self.nats_front.serve).close)
             health = Health(relay)
             for address, name, answer in (
                 (second.agent, "agent", health.agent),
                 (second.health, "health", health.http),
             ):
                 if address is not None:
-                    relay.listeners.append(loop.listen(address, name, answer).close)
+                    relay.listeners.append(self.listen(address, name, answer).close)
+        if station is not None:
+            self._share(station, offer)
+
+    def listen(
+        self, address: Address, name: str, serve: Callable[[Conn], Steps[None]], urgent: bool = False
+    ) -> Listener:
+        """Listen on the socket that the old process hands over, or on one of our own."""
+        sock = self.offer.take(name, address) if self.offer is not None else None
+        return Listener(self.loop, sock or open_listener(address), name, serve, urgent)
+
+    def _share(self, station: upgrade.Station, offer: upgrade.Offer | None) -> None:
+        """Take up what the process before us left or hands over, and stand ready for the one after us."""
+        facade, front, relay = self.relay.facade, self.front, self.relay
+        handover = upgrade.Handover(self.loop, station)
+
+        def cordon(server: str, out: bool, at: int = 0) -> None:
+            facade.know(server)
+            facade.cordon(server, out, at)
+
+        def told(server: str, out: bool) -> None:
+            station.save(facade.cordoned)
+            handover.tell_cordon(server, out)
+
+        def retire() -> None:
+            log("upgrade: the new process serves")
+            relay.drain()
+
+        handover.state = lambda: {
+            "list": self.directory.held(),
+            "cordoned": facade.cordoned,
+            "back": facade.back,
+            "ids": sorted(front.names),
+        }
+        handover.cordon, handover.opened, handover.retire = cordon, front.hear, retire
+        handover.gone = front.elsewhere.clear
+        front.noted = handover.tell_id
+        if self.control is not None:
+            self.control.told = told
+            self.control.ready = lambda: handover.serving
+        if offer is None:
+            for server in station.load():
+                cordon(server, True)
+            handover.open()
+            return
+        for server in offer.state.get("cordoned", []):
+            cordon(server, True)
+        for server, at in offer.state.get("back", {}).items():
+            cordon(server, False, at)
+        front.elsewhere.update(offer.state.get("ids", []))
+        offer.settle()
+        handover.begin(offer)
+        self.directory.ask(whole=False)
 
     def reload(self, path: str, nats_path: str | None = None) -> None:
         """Read the files again and take over what can change while connections stand; log what can't.
@@ -128,8 +200,9 @@
     """Run one proxy until SIGTERM; SIGHUP has it read its files again."""
     config, second = load(path, nats_path)
     loop = Loop(config.sockets)
+    station = upgrade.Station.here(config.name, config.listen)
     try:
-        proxy = Proxy(loop, config, second)
+        proxy = Proxy(loop, config, second, station, upgrade.ask(station))
     except OSError as error:
         print(f"arrowseam: cannot listen: {error}", file=sys.stderr)
         sys.exit(1)
--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -897,7 +897,7 @@
             self.back[event.backend] = event.at or self.now
             if server is not None:
                 server.forget(self.now)
-                server.back_at, server.awaited = self.back[event.backend], True
+                server.back_at, server.awaited = self.back[event.backend], not event.at
                 self.struck.pop(server.id, None)
         self.changed = True
 
--- a/arrowseam/net/control.py
+++ b/arrowseam/net/control.py
@@ -49,7 +49,7 @@
     def __init__(self, loop: Loop, relay: Relay) -> None:
         self.loop, self.relay = loop, relay
         self.waiting: dict[Conn, None] = {}  # callers that have not said a whole line, oldest first
-        self.serving: Callable[[], bool] = lambda: bool(relay.facade.listed) and not relay.draining
+        self.ready: Callable[[], bool] = lambda: True  # whether the process before us has let go
         # What a cordon must reach besides the module; told the server and whether it is out.
         self.told: Callable[[str, bool], None] = lambda server, out: None
 
@@ -57,6 +57,10 @@
     def facade(self) -> Facade:
         return self.relay.facade
 
+    @property
+    def serving(self) -> bool:
+        return bool(self.facade.listed) and not self.relay.draining and self.ready()
+
     def serve(self, conn: Conn) -> Steps[None]:
         conn.inbox.limit = CALL_MAX
         if len(self.waiting) >= CALLERS:
@@ -86,7 +90,7 @@
         words = call.decode("ascii", "replace").split()
         match words:
             case ["health"]:
-                return b"ACK\n" if self.serving() else b"NAK not serving\n"
+                return b"ACK\n" if self.serving else b"NAK not serving\n"
             case ["counters"]:
                 return render(self.relay)
             case ["cordon" | "uncordon" as what, server]:
--- a/arrowseam/net/directory.py
+++ b/arrowseam/net/directory.py
@@ -31,6 +31,7 @@
         self.loop, self.config, self.facade = loop, config, facade
         self.address = config.directory
         self.version = 0
+        self.rows: dict[str, Any] = {}  # the list held, in the directory's own form
         self.whole = True  # the next call asks for the whole list
         self.asked = False
         self.conn: Conn | None = None
@@ -50,6 +51,10 @@
             self.task = self.loop.spawn(self._run(parse_address(self.address)), "directory")
         self.loop.wake(self.task)
 
+    def held(self) -> dict[str, Any]:
+        """The list held, as another process of this proxy may take it up."""
+        return {"generation": self.version, "reset": True, "instances": list(self.rows.values())}
+
     def move(self, address: str) -> None:
         """Leave the directory for another at once, in the middle of a call if need be.
 
@@ -68,6 +73,12 @@
     def _take(self, doc: Any, cached: bool = False) -> None:
         listing: Listing = read_listing(doc, self.config, self.facade.numbers, cached)
         self.version = listing.version
+        if listing.kind != "changes":
+            self.rows.clear()
+        for row in doc["instances"]:
+            self.rows[row["instanceId"]] = row
+            if row["lifecycle"] == "Gone":
+                del self.rows[row["instanceId"]]
         self.facade.listing(listing)
 
     def _run(self, address: Address) -> Steps[None]:
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -199,6 +199,8 @@
     def __init__(self, loop: Loop, config: Config, relay: Relay) -> None:
         self.loop, self.config, self.relay = loop, config, relay
         self.names: set[str] = set()  # of those that are with us now
+        self.elsewhere: set[str] = set()  # and with the other process of this proxy
+        self.noted: Callable[[str, bool], None] = lambda name, is_open: None
 
     def serve(self, conn: Conn) -> Steps[None]:
         conn.inbox.limit = LINE_MAX
@@ -216,7 +218,7 @@
         try:
             opening = parse_open(line or b"")
             invocation = invocation_of(opening, self.config, clock())
-            if opening.name in self.names:
+            if opening.name in self.names or opening.name in self.elsewhere:
                 raise BadLine("the id of another connection")
             if len(conn.inbox):
                 raise BadLine("a client waits after its first line")
@@ -230,10 +232,16 @@
         consumer = LineConsumer(self.loop, conn, self.config.settings.limits.connect_timeout, opening)
         invocation.left = lambda: conn.left
         self.names.add(opening.name)
+        self.noted(opening.name, True)
         try:
             yield from self.relay.serve(invocation, consumer)
         finally:
             self.names.discard(opening.name)
+            self.noted(opening.name, False)
+
+    def hear(self, name: str, is_open: bool) -> None:
+        """An id is in use at the other process of this proxy, or is not any more."""
+        (self.elsewhere.add if is_open else self.elsewhere.discard)(name)
 
     def _first(self, conn: Conn, due: int) -> Steps[bytes | None]:
         """The first line that is no PING. One PING a round of the loop is answered, and not for ever."""
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -92,6 +92,11 @@
                 self.data.extend(bytes(min(self.limit, max(2 * len(self.data), self.end + want)) - self.end))
         return memoryview(self.data)[self.end : self.end + want]
 
+    def put(self, data: bytes) -> None:
+        """Append what was read elsewhere."""
+        self.data[self.end :] = data
+        self.end += len(data)
+
     def find(self, what: bytes, skip: int = 0) -> int:
         at = self.data.find(what, self.start + skip, self.end)
         return at if at < 0 else at - self.start
@@ -298,7 +303,8 @@
         self.stale: set[int] = set()
         self.ready: deque[Task] = deque()
         self.urgent: deque[Task] = deque()  # run before the others in each round: those of control
-        self.kept = 0  # descriptors that consumers may not have: for control and the other process
+        self.kept = 0  # descriptors that consumers may not have: those of control
+        self.elsewhere = 0  # descriptors that the other process of this proxy holds during an upgrade
         # Connections that may be closed to make room, oldest first, each with the last word it is owed:
         # those that have not said yet what they want, and (with none) those that have had their answer.
         self.expendable: dict[Conn, bytes] = {}
@@ -336,7 +342,10 @@
 
         A placed connection takes two; the rest is for the directory, the log and calls under way.
         """
-        return self.spare < 0 or len(self.conns) + self.kept + 24 + self.sockets // 32 >= self.sockets
+        return (
+            self.spare < 0
+            or len(self.conns) + self.elsewhere + self.kept + 24 + self.sockets // 32 >= self.sockets
+        )
 
     def make_room(self) -> bool:
         """Whether there is room for one more connection, once those that can be spared have gone.
@@ -392,9 +401,7 @@
     def listen(
         self, address: Address, name: str, serve: Callable[[Conn], Steps[None]], urgent: bool = False
     ) -> Listener:
-        listener = Listener(self, open_listener(address), name, serve, urgent)
-        self.listeners.append(listener)
-        return listener
+        return Listener(self, open_listener(address), name, serve, urgent)
 
     # --- coroutines ---
 
@@ -519,7 +526,10 @@
         self.loop, self.sock, self.name, self.serve, self.urgent = loop, sock, name, serve, urgent
         self.sock.setblocking(False)
         self.waiting = False
-        self.address: Address = self.sock.getsockname()[:2]
+        self.local = sock.family == socket.AF_UNIX  # between the processes of this proxy
+        self.address: Address = ("", 0) if self.local else self.sock.getsockname()[:2]
+        if not self.local:
+            loop.listeners.append(self)
         task = loop.spawn(self._run(), f"{name} listener", urgent)
         loop.conns[self.sock.fileno()] = task
         loop.epoll.register(self.sock.fileno(), select.EPOLLIN)
@@ -550,7 +560,8 @@
                 self.loop.epoll.modify(self.sock.fileno(), 0)
                 log(f"{self.name} listener: {error}; waiting for a connection to end")
                 return
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if not self.local:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = self.loop.spawn(iter(()), self.name, self.urgent)  # type: ignore[arg-type]
             conn = Conn(self.loop, sock, task)
             conn.writable = conn.readable = True
@@ -573,8 +584,12 @@
             self.loop.epoll.modify(self.sock.fileno(), select.EPOLLIN)
 
     def close(self) -> None:
+        self.accept(1 << 20)
+        self.release()
+
+    def release(self) -> None:
+        """Leave what still waits to the process that holds the other copy of this socket."""
         if self.sock.fileno() >= 0:
-            self.accept(1 << 20)
             self.loop.conns.pop(self.sock.fileno(), None)
             self.loop.epoll.unregister(self.sock.fileno())
             self.sock.close()
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,195 @@
+"""Upgrades: two processes of one proxy, started by its own command line, beside a world of stand-ins."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from network import World, free_port
+
+from arrowseam.net.loop import Steps, clock
+from arrowseam.net.upgrade import Station
+
+
+class Pair:
+    """A world in which the proxy runs as processes of its own; ``wire`` says which front is used."""
+
+    def __init__(self, wire: str, tmp_path: Path, *modes: str) -> None:
+        self.world = World(wire, *(modes or ("up", "up")))
+        self.folder, self.processes = tmp_path, []
+        listen, nats = free_port(), free_port()
+        self.doc = self.world.doc | {"listen": f"127.0.0.1:{listen}"}
+        self.nats = self.world.nats | {"listen": f"127.0.0.1:{nats}"}
+        del self.nats["health"], self.nats["agent"]
+        self.world.address = ("127.0.0.1", listen if wire == "lines" else nats)
+
+    def start(self) -> subprocess.Popen[bytes]:
+        """One more process, when it says that it serves."""
+        process = self.begin()
+        self.world.until(lambda: self.call(b"health\n") == b"ACK\n", 10)
+        return process
+
+    def begin(self) -> subprocess.Popen[bytes]:
+        port = free_port()
+        self.world.addresses["control"] = ("127.0.0.1", port)
+        path, nats = self.folder / f"{port}.json", self.folder / "nats.json"
+        path.write_text(json.dumps(self.doc | {"control": f"127.0.0.1:{port}"}))
+        nats.write_text(json.dumps(self.nats))
+        words = [sys.executable, "-m", "arrowseam", "serve", "--config", str(path), "--nats", str(nats)]
+        log = (self.folder / f"{port}.log").open("wb")
+        process = subprocess.Popen(
+            words, stdout=log, stderr=log, env=os.environ | {"TMPDIR": str(self.folder)}
+        )
+        log.close()
+        self.processes.append(process)
+        return process
+
+    def call(self, words: bytes) -> bytes:
+        """Ask control of the newest process, without waiting for the world; empty where nobody listens."""
+        try:
+            with socket.create_connection(self.world.addresses["control"], timeout=2) as sock:
+                sock.sendall(words)
+                return sock.makefile("rb").read()
+        except OSError:
+            return b""
+
+    def logs(self) -> str:
+        return "".join(path.read_text() for path in self.folder.glob("*.log"))
+
+    def close(self) -> None:
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.world.close()
+
+
+@pytest.fixture(params=["lines", "nats"])
+def pair(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Pair]:
+    made = Pair(request.param, tmp_path)
+    yield made
+    made.close()
+
+
+def test_no_client_meets_a_reset_while_one_process_takes_over_from_the_other(pair):
+    """Clients come all the time; each is served, by the one or by the other."""
+    w, seen = pair.world, []
+    old = pair.start()
+
+    def crowd() -> Steps[None]:
+        while True:
+            seen.append(w.consumer(next(w.numbers)))
+            pause = clock() + 5000
+            while clock() < pause:
+                yield pause
+
+    w.loop.spawn(crowd(), "crowd")
+    w.until(lambda: len(seen) > 10)
+    pair.start()
+    old.send_signal(signal.SIGTERM)
+    w.until(lambda: old.poll() is not None, 8)
+    assert old.returncode == 0
+    last = len(seen)
+    w.until(lambda: len(seen) > last + 10 and all(c.has("up") for c in seen[: last + 10]))
+    assert "does not hand over" not in pair.logs() and "Traceback" not in pair.logs()
+
+
+def test_where_the_new_process_dies_first_the_old_one_goes_on(pair):
+    w = pair.world
+    pair.start()
+    (kept,) = w.up()
+    # It asks, gets all the sockets, and dies before it says that it is ready.
+    station = Station(pair.folder, "n0", pair.doc["listen"])
+    link = station.connect()
+    link.sendall(b'{"hello":1}\n')
+    data, fds, _, _ = socket.recv_fds(link, 65536, 16)
+    assert data and len(fds) >= 3
+    for fd in fds:
+        os.close(fd)
+    link.close()
+    w.until(lambda: "the new process has ended first" in pair.logs())
+    assert pair.call(b"health\n") == b"ACK\n"
+    w.up(5)
+    assert not kept.ended_at
+
+
+def test_cordons_hold_over_an_upgrade_a_crash_and_when_called_in_the_overlap(pair):
+    w = pair.world
+    old = pair.start()
+    old_control = w.addresses["control"]
+    assert pair.call(b"cordon s0\n") == b"ACK\n"
+    new = pair.start()
+    new_control = w.addresses["control"]
+    w.addresses["control"] = old_control  # the old one is still there, and is asked
+    assert pair.call(b"uncordon s0\n") == b"ACK\n" and pair.call(b"cordon s1\n") == b"ACK\n"
+    w.addresses["control"] = new_control
+    w.run(0.2)
+    before = len(w.servers[1].heard)
+    w.up(10)
+    assert len(w.servers[1].heard) == before
+    for process in (old, new):
+        process.kill()
+        process.wait()
+    pair.start()
+    w.up(10)
+    assert len(w.servers[1].heard) == before
+    assert pair.call(b"uncordon s1\n") == b"ACK\n"
+    assert not Station(pair.folder, "n0", pair.doc["listen"]).load()
+
+
+def test_an_id_in_use_at_the_old_process_is_refused_by_the_new_one(tmp_path):
+    pair = Pair("lines", tmp_path)
+    w = pair.world
+    pair.start()
+    first = w.consumer(7)
+    w.until(lambda: first.has("up"))
+    pair.start()
+    second = w.consumer(7)
+    w.until(lambda: second.ended_at or second.has("up"))
+    assert second.has("failed") and not second.has("up")
+    pair.close()
+
+
+def test_the_old_process_tells_its_list_and_the_new_one_watches_on(pair):
+    w = pair.world
+    pair.start()
+    w.until(lambda: w.calls)
+    w.tell(s0={"lifecycle": "Terminating"}, s1={})
+    w.until(lambda: any("since=2" in target for _, target in w.calls))
+    calls = len(w.calls)
+    pair.start()
+    before = len(w.servers[0].heard)
+    w.until(lambda: len(w.calls) > calls, 2)
+    w.up(10)
+    assert len(w.servers[0].heard) == before
+    assert all("since=2" in target for _, target in w.calls[calls:])
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"a": 1}', "[1]"])
+def test_a_broken_file_of_cordons_is_no_cordon_and_no_crash(tmp_path, text):
+    station = Station(tmp_path, "n0", "127.0.0.1:1")
+    station.cordons.write_text(text)
+    assert station.load() == []
+    station.save(["s1", "s2"])
+    assert station.load() == ["s1", "s2"]
+
+
+def test_the_socket_is_ours_alone_and_a_stale_one_is_replaced(tmp_path):
+    folder = tmp_path / ("long" * 40)  # longer than a unix socket's path may be
+    folder.mkdir()
+    station = Station(folder, "n0", "127.0.0.1:1")
+    assert station.connect() is None
+    station.open().close()
+    assert station.connect() is None  # stale
+    with station.open():
+        assert (folder / station.socket).stat().st_mode & 0o777 == 0o600
+        link = station.connect()
+        assert link is not None
+        link.close()
+    assert len(list(folder.iterdir())) == 1
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -527,6 +528,7 @@
             f"ulimit -n {descriptors}; exec {sys.executable} -m arrowseam serve --config {path}",
         ],
         stderr=subprocess.PIPE,
+        env=os.environ | {"TMPDIR": str(path.parent)},
     )
     assert child.stderr is not None and b"listens" in child.stderr.readline()
     try:
