Take settings at SIGHUP, all of a good file and nothing of a bad one

Cause: Proxy.reload kept the settings; parse_settings fills a missing or zero deadline in silently, so a broken file was "taken" and its discovery, where nobody listens, was gone to. Ruled out: the directory's move (the address is compared; test that an equal one is not left).

--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -153,25 +153,34 @@
     def reload(self, path: str, nats_path: str | None = None) -> None:
         """Read the files again and take over what can change while connections stand; log what can't.
 
-        A bad file changes nothing. Guards against an end of the process on SIGHUP, which is its default.
+        All is checked first: a bad file changes nothing, and one that lacks a key the last had is bad.
+        Guards against an end of the process on SIGHUP, which is its default.
         """
         try:
             config, second = read(path, nats_path)
+            if missing := sorted(self.config.keys - config.keys):
+                raise ConfigError(f"configuration: incomplete, {missing[0].lstrip('.')} is missing")
         except (OSError, ConfigError) as error:
             self.relay.figures.reload_failure += 1
             log(f"reload: {error}; the old settings stay")
             return
         self.relay.figures.reload_success += 1
-        kept = [
-            key
-            for key in ("name", "listen", "control", "settings")
-            if getattr(config, key) != getattr(self.config, key)
-        ]
+        stay = ("name", "listen", "control")
+        kept = [key for key in stay if getattr(config, key) != getattr(self.config, key)]
         if self.nats_front is not None and second is not None:
             old = self.nats_front.nats
             fixed = ("listen", "health", "agent")
             kept += [f"nats {key}" for key in fixed if getattr(second, key) != getattr(old, key)]
             self.nats_front.nats = replace(second, **{key: getattr(old, key) for key in fixed})
+        renumbered = (config.zones, config.kinds) != (self.config.zones, self.config.kinds)
+        # Each part reads its settings from these whenever it needs them; nothing keeps a copy.
+        config = replace(config, **{key: getattr(self.config, key) for key in stay})
+        self.config = self.relay.config = self.front.config = self.directory.config = config
+        if self.nats_front is not None:
+            self.nats_front.config = config
+        self.relay.facade.retune(config)
+        if renumbered:
+            self.directory.ask(whole=True)
         self.loop.limit(config.sockets)
         self.directory.move(config.directory)
         log("reload: done" + (f"; changed but kept until a restart: {', '.join(kept)}" if kept else ""))
--- a/arrowseam/api.py
+++ b/arrowseam/api.py
@@ -180,6 +180,7 @@
     group: int = 0
     repeat: bool = False
     returned: bool = False  # the client came back after a break or a move
+    rule: RequestClass | None = None  # of a class that has been dropped since; klass then means nothing
 
 
 @dataclass(slots=True)
@@ -257,6 +258,14 @@
     at: int = 0  # put back then; 0 = now
 
 
+@dataclass(slots=True)
+class Retune:
+    """New settings. ``kept`` says, for each of their classes, which one of the old it is; -1 = none."""
+
+    settings: Settings
+    kept: tuple[int, ...]
+
+
 @dataclass(slots=True)
 class Timer:
     token: int
@@ -265,6 +274,7 @@
 Event: TypeAlias = (
     BackendList
     | Cordon
+    | Retune
     | Request
     | Adopted
     | Established
--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -85,17 +85,29 @@
         self.tokens, self.tokens_at = 0.0, now
 
 
+class Mean:
+    """The mean load seen of a class; it outlives the class while connections of it stand."""
+
+    __slots__ = ("load",)
+
+    def __init__(self) -> None:
+        self.load = 0.0
+
+
 class Job:
     """A request from its arrival until its last attempt has ended."""
 
     __slots__ = (
-        "answered", "attempts", "deadline", "errors", "fresh", "group", "id", "key", "klass", "load", "looks",
-        "open", "picks", "ran_at", "ran_on", "server", "tenant", "tried", "up_at",
+        "answered", "attempts", "deadline", "errors", "fresh", "group", "id", "key", "limit", "load",
+        "looks", "mean", "open", "picks", "ran_at", "ran_on", "rule", "server", "tenant", "tried", "up_at",
     )  # fmt: skip
 
-    def __init__(self, request: api.Request, now: int, load: float) -> None:
+    def __init__(
+        self, request: api.Request, now: int, rule: api.RequestClass, mean: Mean, limit: int
+    ) -> None:
         self.id = request.request
-        self.klass = request.klass
+        # As they were when it came: new settings are for those that come after them.
+        self.rule, self.mean, self.limit = rule, mean, limit
         self.tenant = request.tenant
         self.key = request.key
         self.group = request.group
@@ -109,7 +121,7 @@
         self.answered = False
         self.ran_on: Server | None = None  # first attempt that may have run
         self.ran_at = 0
-        self.load = load
+        self.load = request.load if request.load > 0 else mean.load
         self.fresh = not (request.returned or request.repeat)  # and not looked at before
         self.looks = 0  # rounds of probes sent for it
         self.picks: list[Server] = []  # probed for it in the last round
@@ -181,7 +193,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         if not isinstance(settings, api.Settings):
             raise api.UsageError("settings must be an api.Settings")
-        self.settings = settings
+        self.means: list[Mean] = []
+        self._follow(settings, ())
         self.random: Callable[[], float] = random.Random(seed).random
         self.now = 0
         self.out: list[api.Action] = []
@@ -199,8 +212,6 @@
         self.flying: set[int] = set()  # requests with an attempt under way
         self.held: dict[int, Job] = {}  # requests that nothing can be sent for just now
         self.looking = False  # a timer to look at them again is set
-        self.class_load = [0.0] * len(settings.classes)  # mean load seen per class
-        self.shortest_aim = min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0)
         self.rate_count = 0.0  # decayed count of first arrivals
         self.rate_at = 0
         self.rate_seen = 0
@@ -218,11 +229,8 @@
         self.window = math.inf  # load that this relay may hold while the fleet is overfull
         self.peak = 0.0  # load held when the last trouble of all backends began
         self.window_at = self.cut_at = -(1 << 62)
-        fields = settings.report_fields
-        self.report_field = fields.index("x0") if settings.limits.probing and "x0" in fields else -1
         self.level_at = 0
         self.leave_due = False  # a timer to go on with moves is set
-        self.capacity = sum(t.connections for t in settings.tenants) / QUOTA_PART  # connections, all relays'
         self.probe_tokens = 0.0
         self.probing: dict[int, Job] = {}  # requests that wait for probes
         self.subscribed = False
@@ -231,6 +239,7 @@
         self.handlers = {
             api.BackendList: self._on_list,
             api.Cordon: self._on_cordon,
+            api.Retune: self._on_retune,
             api.Request: self._on_request,
             api.Adopted: self._on_adopted,
             api.Established: self._on_established,
@@ -243,6 +252,22 @@
             api.Timer: self._on_timer,
         }
 
+    def _follow(self, settings: api.Settings, kept: tuple[int, ...]) -> None:
+        """Take over settings, with what was learnt of the classes that they keep."""
+        known = [self.means[n] if n >= 0 else Mean() for n in kept]
+        self.settings = settings
+        self.means = known or [Mean() for _ in settings.classes]  # load seen, by class
+        self.shortest_aim = min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0)
+        fields = settings.report_fields
+        self.report_field = fields.index("x0") if settings.limits.probing and "x0" in fields else -1
+        self.capacity = sum(t.connections for t in settings.tenants) / QUOTA_PART  # connections, all relays'
+
+    def _on_retune(self, event: api.Retune) -> None:
+        if len(event.kept) != len(event.settings.classes):
+            raise api.UsageError("kept must name an old class, or -1, for each new one")
+        self._follow(event.settings, event.kept)
+        self.changed = True
+
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has come in by ``now``, in order of arrival; return what to do, in order."""
         if now < self.now:
@@ -382,9 +407,9 @@
     def _allowed(self, job: Job) -> list[Server] | None:
         """Where a request may go that may have run already; None = anywhere."""
         first = job.ran_on
-        if first is None or self.settings.classes[job.klass].effect is Effect.REPEATABLE:
+        if first is None or job.rule.effect is Effect.REPEATABLE:
             return None
-        klass = self.settings.classes[job.klass]
+        klass = job.rule
         if klass.effect is Effect.UNSAFE or self.now - job.ran_at >= klass.key_ttl:
             return []
         if klass.key_scope is KeyScope.ZONE:
@@ -531,22 +556,29 @@
     def _on_request(self, event: api.Request) -> None:
         if event.request in self.jobs:
             raise api.UsageError(f"request {event.request} is already known")
-        if not 0 <= event.klass < len(self.settings.classes):
-            raise api.UsageError(f"request {event.request} is of class {event.klass}, which is not set up")
+        job = self._job(event)
         # A relay that has just started has seen none but those who come again: they tell it a part.
         first = not (event.returned or event.repeat)
         if first or self.rate_seen < RATE_SPAN:
             self._count_arrival(1.0 if first else 0.25)
             earned = min(2.0 * LOOKS, PROBE_SPEND / max(self.settings.prices.probe, 1e-9))
             self.probe_tokens = min(self.probe_tokens + earned, 10.0 * earned)
-        load = event.load if event.load > 0 else self.class_load[event.klass]
-        job = self.jobs[event.request] = Job(event, self.now, load)
         self._place(job)
 
+    def _job(self, request: api.Request) -> Job:
+        rule, mean = request.rule, Mean()
+        if rule is None:
+            if not 0 <= request.klass < len(self.settings.classes):
+                raise api.UsageError(
+                    f"request {request.request} is of class {request.klass}, which is not set up"
+                )
+            rule, mean = self.settings.classes[request.klass], self.means[request.klass]
+        job = Job(request, self.now, rule, mean, self.settings.limits.max_attempts)
+        self.jobs[job.id] = job
+        return job
+
     def _on_adopted(self, event: api.Adopted) -> None:
-        request = event.request
-        load = request.load if request.load > 0 else self.class_load[request.klass]
-        job = self.jobs[request.request] = Job(request, self.now, load)
+        job = self._job(event.request)
         job.attempts, job.open, job.answered = 1, True, True
         job.server = self.servers.get(event.backend)
         if job.server is not None:
@@ -585,10 +617,10 @@
             self._reweigh()
         left = job.deadline - self.now
         limits = self.settings.limits
-        aim = self.settings.classes[job.klass].aim
+        aim = job.rule.aim
         if (
             left <= 0
-            or job.attempts >= limits.max_attempts
+            or job.attempts >= min(job.limit, limits.max_attempts)
             or job.errors >= 2
             or (left < HURRY * aim and not job.fresh)
         ):
@@ -644,17 +676,17 @@
 
     def _patience(self, job: Job, left: int) -> int:
         """A time-out that leaves the later attempts their time; the last one may have all that is left."""
-        attempts_left = self.settings.limits.max_attempts - job.attempts
+        attempts_left = min(job.limit, self.settings.limits.max_attempts) - job.attempts
         if attempts_left <= 1:
             return left
-        klass = self.settings.classes[job.klass]
+        klass = job.rule
         return min(left, max(left // attempts_left, min(klass.aim, left // 2)))
 
     def _give_up(self, job: Job) -> None:
         """The final answer: a refusal where it is permitted and honest, else a failure."""
         job.answered = True
         del self.jobs[job.id]
-        klass = self.settings.classes[job.klass]
+        klass = job.rule
         keyed = klass.effect is Effect.KEYED and klass.key_scope is KeyScope.ALL
         if job.ran_on is None or klass.effect is Effect.REPEATABLE or keyed:
             self.out.append(api.Refuse(job.id, self._retry_after()))
@@ -675,9 +707,9 @@
         self.flying.discard(job.id)
         if job.server is not None:
             self._opened(job.id, job.server)
-            if 2 * event.elapsed <= self.settings.classes[job.klass].aim:
+            if 2 * event.elapsed <= job.rule.aim:
                 job.server.strikes = max(0.0, job.server.strikes - 0.5)  # one that is shed strikes again
-        self._came_up(event.elapsed, self.settings.classes[job.klass].aim)
+        self._came_up(event.elapsed, job.rule.aim)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
         server = self.servers.get(event.backend)
@@ -688,7 +720,7 @@
         was_open = job.open
         self._let_go(job)
         # What was sent in a hurry says nothing about the backend.
-        hasty = outcome is Outcome.TIMEOUT and event.elapsed < HURRY * self.settings.classes[job.klass].aim
+        hasty = outcome is Outcome.TIMEOUT and event.elapsed < HURRY * job.rule.aim
         # What one server after the other answers with an error is at fault itself.
         job.errors += outcome is Outcome.ERROR
         hasty = hasty or (outcome is Outcome.ERROR and job.errors > 1)
@@ -701,7 +733,7 @@
                 weight = 1.0 / (1.0 + len(server.open))  # the others there speak for it
             self._strike(server, weight)
             if not was_open and outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED):
-                self._jam(self.settings.classes[job.klass].aim)
+                self._jam(job.rule.aim)
         if event.final or was_open:
             del self.jobs[event.request]
             return
@@ -720,8 +752,8 @@
         job = self.jobs.get(event.request)
         if job is None or not math.isfinite(event.load) or event.load < 0:
             return
-        mean = self.class_load[job.klass]
-        self.class_load[job.klass] = event.load if mean == 0.0 else mean + 0.05 * (event.load - mean)
+        mean = job.mean.load
+        job.mean.load = event.load if mean == 0.0 else mean + 0.05 * (event.load - mean)
         if job.server is not None:
             job.server.load += event.load - job.load
             self.load += event.load - job.load
@@ -736,7 +768,7 @@
         server, job = self.servers.get(event.backend), self.jobs.get(event.request)
         if server is None or job is None or not job.open or not event.delay_ms >= 0.0:
             return
-        aim = self.settings.classes[job.klass].message_aim
+        aim = job.rule.message_aim
         if aim <= 0:
             return
         if event.delay_ms * 1000 < self.shortest_aim / 3:
@@ -839,7 +871,7 @@
 
     def _burden(self, number: int) -> float:
         job = self.jobs[number]
-        return job.load / max(1e-9, self.settings.classes[job.klass].worth)
+        return job.load / max(1e-9, job.rule.worth)
 
     # --- list following -----------------------------------------------------------------------------------
 
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -65,6 +65,7 @@
     kinds: dict[str, int]
     classes: dict[str, int]
     tenants: dict[str, int]
+    keys: frozenset[str]  # what the file says at all: a later one that leaves something out is incomplete
 
     @property
     def class_names(self) -> list[str]:
@@ -79,7 +80,21 @@
     return {str(r.get("name") if isinstance(r, dict) else r): n for n, r in enumerate(rows)}
 
 
+def _paths(value: Any, at: str = "") -> frozenset[str]:
+    """The keys in a document, as paths; in a list of objects, those that each of them has."""
+    if isinstance(value, dict):
+        found = {f"{at}.{key}" for key, item in value.items() if item is not None}
+        return frozenset(found.union(*(_paths(item, f"{at}.{key}") for key, item in value.items())))
+    if isinstance(value, list) and value and all(isinstance(row, dict) for row in value):
+        return frozenset.intersection(*(_paths(row, f"{at}[]") for row in value))
+    return frozenset()
+
+
+OPTIONAL = ("seed", "known", "control")  # a file may leave these out though another had them
+
+
 def read_config(text: bytes) -> Config:
+    """Decode a configuration; raises ConfigError where it is not what it must be."""
     try:
         doc = json.loads(text)
         if not isinstance(doc, dict):
@@ -87,6 +102,9 @@
         raw = _table(doc, "settings")
         # Neither wire of ours says that messages are slow at a server: the module must not wait to be told.
         settings = replace(parse_settings(json.dumps(raw).encode()), tells_delay=False)
+        for lane in _rows(raw, "lanes"):
+            if _whole(lane, "deadline") <= 0:
+                raise WireError(f"settings: the deadline of {lane.get('name')} must be a positive number")
         limits = _table(doc, "limits")
         texts = {key: doc.get(key, "") for key in ("name", "listen", "control", "discovery", "seed")}
         for key, value in texts.items():
@@ -109,10 +127,11 @@
             kinds=_names(_rows(raw, "kinds")),
             classes=_names(_rows(raw, "lanes")),
             tenants=_names(_rows(raw, "tenants")),
+            keys=_paths({key: value for key, value in doc.items() if key not in OPTIONAL}),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
-    except (ValueError, OverflowError) as error:
+    except (ValueError, OverflowError, RecursionError) as error:
         raise ConfigError(f"configuration: not JSON ({error})") from None
 
 
@@ -208,6 +227,7 @@
     server: str = ""  # where it runs already; empty for a new one
     name: str = ""
     klass_name: str = ""
+    rule: api.RequestClass | None = None  # its class as it was when the consumer came
     over: bool = False  # all that is left is that its consumer hears of it
     left: Callable[[], bool] = bool
     wake: Callable[[], None] = lambda: None
@@ -309,12 +329,15 @@
 
     def _begin(self, invocation: Invocation) -> api.Request:
         self.count += 1
+        # A class is a position, which new settings may have given to another since.
+        klass = self.config.classes.get(invocation.klass_name) if invocation.rule else invocation.klass
         invocation.number = self.count
         invocation.known = True
         self.invocations[self.count] = invocation
         return api.Request(
             request=self.count,
-            klass=invocation.klass,
+            klass=-1 if klass is None else klass,
+            rule=invocation.rule if klass is None else None,
             tenant=invocation.tenant,
             key=invocation.key,
             time_left=max(0, invocation.due - self.clock()),
@@ -409,6 +432,12 @@
                     invocation.wake()
         return True
 
+    def retune(self, config: Config) -> None:
+        """New settings, for all that comes from now on."""
+        kept = tuple(self.config.classes.get(name, -1) for name in config.classes)
+        self.config, self.settings = config, config.settings
+        self._feed(api.Retune(config.settings, kept))
+
     def know(self, server: str) -> None:
         """Give a server a number before any list has named it."""
         self.numbers.setdefault(server, len(self.numbers) + 1)
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -94,6 +94,7 @@
         server=values.get("at", ""),
         name=opening.name,
         klass_name=values["c"],
+        rule=config.settings.classes[klass],
     )
 
 
--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -416,14 +416,17 @@
             yield from self._refuse(conn, "Authorization Violation")
             return
         consumer = NatsConsumer(self, conn, connect)
-        if consumer.verbose and not (yield from conn.send(b"+OK\r\n", due)):
-            return
+        if consumer.verbose:
+            if not (yield from conn.send(b"+OK\r\n", due)):
+                return
+            place = self.nats.place(fields) or place  # new settings may have come meanwhile
         self.clients += 1
         name = fields.get("name") or fields.get("user") or ""
         yield from self.relay.serve(
             Invocation(
                 klass=place[0],
                 klass_name=self.config.class_names[place[0]],
+                rule=self.config.settings.classes[place[0]],
                 tenant=place[1],
                 key=int.from_bytes(blake2b(str(name).encode(), digest_size=8).digest(), "big"),
                 due=clock() + self.config.settings.classes[place[0]].deadline,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,7 +8,7 @@
 from helpers import SECOND, START, Clock, ask, backends, ended, finals, full, relay, sends, settings
 
 from arrowseam import Balancer, api
-from arrowseam.balance import Job
+from arrowseam.balance import Job, Mean
 
 MESSAGES = (api.RequestClass(aim=300_000, deadline=2 * SECOND, message_aim=100_000),)
 
@@ -146,7 +146,7 @@
     (server,) = clock.balancer.servers.values()
     server.strikes, server.struck_at = 3.0, clock.now
     for n in range(6):
-        clock.balancer.jobs[n] = job = Job(ask(n), clock.now, 0.0)
+        clock.balancer.jobs[n] = job = Job(ask(n), clock.now, settings().classes[0], Mean(), 3)
         clock.balancer._hold(job, server)
         clock.step(api.Established(n, 0, 100, 20_000))
     assert clock.balancer._strikes(server) == 0.0
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,190 @@
+"""Settings that change at SIGHUP: all of a good file, nothing of a bad one, nothing for what is open."""
+
+from __future__ import annotations
+
+import copy
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import SECOND, START, Clock, ask, backends, ended, finals, full, relay, sends, settings
+from network import LANE, WORDS, World
+
+from arrowseam import Balancer, api
+from arrowseam.facade import ConfigError, read_config
+
+BULK = LANE | {"name": "bulk", "effect": "fragile", "deadline": 900000}
+
+
+@pytest.fixture(params=["lines", "nats"])
+def world(request: pytest.FixtureRequest) -> Iterator[Callable[..., World]]:
+    made: list[World] = []
+
+    def make(*modes: str, **fields: object) -> World:
+        made.append(World(request.param, *modes, **fields))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def reload(w: World, folder: Path, doc: Any, users: tuple[str, ...] = ("tech", "resident")) -> dict[str, int]:
+    (folder / "config.json").write_text(doc if isinstance(doc, str) else json.dumps(doc))
+    place = {user: {"class": user, "tenant": "acme"} for user in users}
+    (folder / "nats.json").write_text(json.dumps(w.nats | {"users": place}))
+    w.proxy.reload(str(folder / "config.json"), str(folder / "nats.json"))
+    return w.figures()
+
+
+def changed(w: World, *path: Any, value: Any = None) -> dict[str, Any]:
+    """The running file with one value changed, or (without a value) left out."""
+    doc = copy.deepcopy(w.doc)
+    at: Any = doc
+    for key in path[:-1]:
+        at = at[key]
+    if value is None:
+        del at[path[-1]]
+    else:
+        at[path[-1]] = value
+    return doc
+
+
+def test_a_class_comes_and_another_goes_while_connections_of_it_stand(world, tmp_path, monkeypatch):
+    monkeypatch.setitem(WORDS["lines"], "open", lambda n, k: b"OPEN %016x 0a c=%s,t=acme,d=800\r\n" % (n, k))
+    w = world("up", "up")
+    (old,) = w.up(klass=b"resident")
+    lanes = w.doc["settings"]["lanes"]
+    doc = changed(w, "settings", "lanes", value=[BULK, lanes[0]])
+    assert reload(w, tmp_path, doc, ("tech", "bulk"))["edge.reload_success"] == 1
+    w.up(2, klass=b"bulk")
+    late = w.consumer(77, b"resident")
+    w.until(lambda: late.ended_at)
+    assert not late.has("up")
+    found = w.figures()
+    assert found["edge.replies.bulk.success"] == 2
+    assert found["edge.replies.resident.success"] == 1  # dropped classes keep their figures
+    (stands,) = [j for j in w.relay.facade.balancer.jobs.values() if j.rule.deadline == 600000]
+    for load in (7.0, 9.0):
+        w.relay.facade.load(next(i for i in w.relay.live.values() if i.klass_name == "resident"), load)
+    assert stands.load == 9.0 and not old.ended_at
+    assert w.relay.config.longest_deadline == 1_800_000
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("settings",),
+        ("discovery",),
+        ("limits", "sockets"),
+        ("settings", "lanes"),
+        ("settings", "caps"),
+        ("settings", "caps", "max_attempts"),
+        ("settings", "invariants", "drain_grace"),
+        ("settings", "lanes", 1, "deadline"),
+        ("settings", "lanes", 0, "effect"),
+        ("settings", "tenants", 0, "share"),
+    ],
+)
+def test_of_a_file_that_lacks_a_key_nothing_is_taken(world, tmp_path, path):
+    w = world("up")
+    before = w.proxy.config
+    doc = changed(w, *path)
+    doc.setdefault("discovery", "127.0.0.1:9")  # where nobody listens
+    if path != ("discovery",):
+        doc["discovery"] = "127.0.0.1:9"
+    else:
+        del doc["discovery"]
+    found = reload(w, tmp_path, doc)
+    assert (found["edge.reload_success"], found["edge.reload_failure"]) == (0, 1)
+    assert w.proxy.config is before and w.proxy.directory.address == before.directory
+
+
+@pytest.mark.parametrize("value", [0, -1, 0.0, "5", float("nan"), True, [], 1e999])
+@pytest.mark.parametrize("path", [("lanes", 1, "deadline"), ("caps", "max_attempts")])
+def test_deadlines_and_attempts_must_be_positive_numbers(path, value):
+    w = World("lines", "up")
+    doc = changed(w, "settings", *path, value=value)
+    w.close()
+    with pytest.raises(ConfigError) as error:
+        read_config(json.dumps(doc).encode())
+    assert "\n" not in str(error.value)
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "null", "[" * 100_000, '{"settings": 5}', "\udcff"])
+def test_a_broken_file_counts_once_and_changes_nothing(tmp_path, text):
+    w = World("lines", "up")
+    (tmp_path / "config.json").write_bytes(text.encode("utf-8", "surrogateescape"))
+    w.proxy.reload(str(tmp_path / "config.json"))
+    assert w.figures()["edge.reload_failure"] == 1
+    assert w.up()
+    w.close()
+
+
+def test_the_directory_is_not_left_where_its_address_is_the_same(world, tmp_path):
+    w = world("up")
+    w.until(lambda: w.calls)
+    conn, calls = w.proxy.directory.conn, len(w.calls)
+    reload(w, tmp_path, changed(w, "settings", "caps", "max_attempts", value=2))
+    w.run(0.1)
+    assert w.proxy.directory.conn is conn and len(w.calls) == calls
+
+
+def test_the_new_number_of_attempts_binds_what_comes_after_it(world, tmp_path):
+    w = world("busy", "busy", "busy")
+    reload(w, tmp_path, changed(w, "settings", "caps", "max_attempts", value=1))
+    for n in range(3):
+        consumer = w.consumer(n)
+        w.until(lambda: consumer.ended_at)  # noqa: B023
+    assert w.figures()["edge.dispatches"] == 3
+
+
+# --- the module by itself ---------------------------------------------------------------------------------
+
+
+def retuned(balancer: Balancer, now: int, **changes: Any) -> None:
+    new = replace(balancer.settings, **changes)
+    balancer.handle(now, [api.Retune(new, (0,) + (-1,) * (len(new.classes) - 1))])
+
+
+def test_what_is_open_keeps_its_own_effect_and_attempts():
+    """It came as one that is safe to repeat; its class is fragile now, for those that come from now on."""
+    clock = Clock(relay(backends(5)))
+    (first,) = sends(clock.step(ask(1)))
+    old = clock.balancer.settings
+    fragile = replace(old.classes[0], effect=api.Effect.UNSAFE)
+    retuned(clock.balancer, clock.now, classes=(fragile,), limits=replace(old.limits, max_attempts=9))
+    (again,) = sends(clock.step(ended(first, api.Outcome.RESET)))
+    (second,) = sends(clock.step(ask(2)))
+    actions = clock.step(ended(second, api.Outcome.RESET))
+    assert not sends(actions) and isinstance(finals(actions)[0], api.Fail)
+    (third,) = sends(clock.step(ended(again, api.Outcome.RESET, 1)))
+    assert isinstance(finals(clock.step(ended(third, api.Outcome.RESET, 2)))[0], api.Refuse)
+
+
+def test_fewer_attempts_bind_at_once():
+    clock = Clock(relay(backends(5)))
+    (first,) = sends(clock.step(ask(1)))
+    limits = replace(clock.balancer.settings.limits, max_attempts=1)
+    retuned(clock.balancer, clock.now, limits=limits)
+    assert finals(clock.step(ended(first, api.Outcome.FULL)))
+
+
+def test_what_was_learnt_of_a_class_stays_with_it():
+    balancer = relay(backends(2), classes=settings().classes * 2)
+    balancer.handle(START, [ask(1, klass=1)])
+    balancer.handle(START, [api.LoadNote(1, 0, 100, 40.0)])
+    new = replace(balancer.settings, classes=balancer.settings.classes[:1] * 3)
+    balancer.handle(START, [api.Retune(new, (1, -1, 0))])
+    assert [mean.load for mean in balancer.means] == [40.0, 0.0, 0.0]
+    balancer.handle(START + SECOND, [full(backends(2)), ask(2, klass=0)])
+    assert balancer.jobs[2].load == 40.0
+
+
+def test_a_retune_that_does_not_say_which_class_is_which_is_no_retune():
+    balancer = relay(backends(1))
+    with pytest.raises(api.UsageError):
+        balancer.handle(START, [api.Retune(balancer.settings, ())])
