Hand what stands to the new process with its sockets; level by the whole fleet's weight

Each connection crosses as one line with both descriptors, between two messages only; module state crosses as Adopted. Tests: half messages, questions, later moves, a long message.

It goes by the most weight the list had ready now. Also found: the last connection on a draining server stayed by chance (one in two each second).

--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -7,15 +7,17 @@
 
 import os
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import click
 
 from arrowseam import __version__
-from arrowseam.facade import Config, ConfigError, Facade, read_config
+from arrowseam.facade import Config, ConfigError, Facade, Invocation, read_config
 from arrowseam.net import control, lines, nats, upgrade
 from arrowseam.net.directory import Directory
 from arrowseam.net.health import Health
@@ -30,7 +32,7 @@
     open_listener,
     parse_address,
 )
-from arrowseam.relay import Relay
+from arrowseam.relay import Consumer, Relay
 
 
 def read(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
@@ -58,6 +60,24 @@
         sys.exit(1)
 
 
+def take_up(
+    loop: Loop,
+    front: lines.LineFront | nats.NatsFront,
+    invocation: Invocation,
+    state: dict[str, Any],
+    one: socket.socket,
+    other: socket.socket,
+) -> None:
+    """Go on with a connection that stood at the old process, as its front does."""
+    early = [str(state[way]).encode("latin-1") for way in ("outward", "inward")]
+    task = loop.spawn(iter(()), invocation.name)  # type: ignore[arg-type]
+    consumer, server = Conn(loop, one, task, lines.EARLY), Conn(loop, other, task, nats.SERVER_MAX)
+    for conn, data in zip((consumer, server), early):
+        conn.readable = conn.writable = True
+        conn.inbox.put(data)
+    task.gen = front.take(consumer, server, invocation, state)
+
+
 class Proxy:
     """The parts of one proxy, each told of the ones it needs: one core for both fronts."""
 
@@ -120,8 +140,23 @@
             station.save(facade.cordoned)
             handover.tell_cordon(server, out)
 
+        def give(invocation: Invocation, consumer: Consumer) -> bool:
+            passage = consumer.passage
+            if passage is None or not passage.at_rest():
+                return False
+            state = facade.export(invocation) | consumer.export() | passage.export()
+            return handover.give(state, passage.consumer, passage.server)
+
+        def take(state: dict[str, Any], one: socket.socket, other: socket.socket) -> None:
+            invocation = facade.imported(state)
+            front = self.front if state["wire"] == "lines" else self.nats_front
+            if front is None:
+                raise ValueError("its front is not open here")
+            take_up(self.loop, front, invocation, state, one, other)
+
         def retire() -> None:
-            log("upgrade: the new process serves")
+            log(f"upgrade: the new process serves; {len(relay.live)} invocations go there")
+            relay.give(give, lambda: handover.link is not None and bool(handover.link.out))
             relay.drain()
 
         handover.state = lambda: {
@@ -131,7 +166,7 @@
             "ids": sorted(front.names),
         }
         handover.cordon, handover.opened, handover.retire = cordon, front.hear, retire
-        handover.gone = front.elsewhere.clear
+        handover.gone, handover.take = front.elsewhere.clear, take
         front.noted = handover.tell_id
         if self.control is not None:
             self.control.told = told
--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -230,6 +230,7 @@
         self.peak = 0.0  # load held when the last trouble of all backends began
         self.window_at = self.cut_at = -(1 << 62)
         self.level_at = 0
+        self.listed = 0  # most weight that the list has had ready
         self.leave_due = False  # a timer to go on with moves is set
         self.probe_tokens = 0.0
         self.probing: dict[int, Job] = {}  # requests that wait for probes
@@ -826,9 +827,9 @@
             self.window_at = self.now
         return self.window
 
-    def _thin(self, server: Server, share: float = MOVE_SHARE) -> None:
+    def _thin(self, server: Server, share: float = MOVE_SHARE, least: int = 0) -> None:
         """Move part of the connections this relay holds at an overfull backend."""
-        leave = int(share * len(server.open) + self.random())
+        leave = max(int(share * len(server.open) + self.random()), min(least, len(server.open)))
         for _ in range(leave):
             numbers = list(server.open)
             picks = [numbers[int(self.random() * len(numbers))] for _ in range(2)]
@@ -846,7 +847,7 @@
         """
         for server in list(self.serving.values()):
             if self._leaving(server):
-                self._thin(server, LEAVE_SHARE)
+                self._thin(server, LEAVE_SHARE, least=1)  # the last ones must not hang on by chance
 
     def _level(self) -> None:
         """Move some of what stands on a backend that by its weight must carry more than it can.
@@ -855,10 +856,15 @@
         """
         if self.changed:
             self._reweigh()
-        relays, listed = self.settings.relays, sum(s.listed for s in self.ready)
+        relays = self.settings.relays
+        # What the quotas speak of is the whole fleet. Guards against servers that seem to grow when another
+        # is taken out: then each has more to carry, and can carry no more than before.
+        whole = [s for s in self.servers.values() if s.state is BackendState.READY]
+        listed = self.listed = max(self.listed, sum(s.listed for s in whole))
+        usable = self.capacity * sum(s.listed for s in self.ready) / max(1, listed)
         if self._jammed():
             return  # set-ups fail: who leaves now may not get in again
-        if self.load <= 0.0 or not 0.0 < relays * self.connections < SPARE * self.capacity or not listed:
+        if self.load <= 0.0 or not 0.0 < relays * self.connections < SPARE * usable or not listed:
             return
         mean = self.load / self.connections
         for server in list(self.serving.values()):
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -378,6 +378,38 @@
                 return Failure()
             yield invocation.due
 
+    def export(self, invocation: Invocation) -> dict[str, Any]:
+        """What stands, as another process of this proxy takes it up: names, no positions."""
+        rule = invocation.rule or self.settings.classes[invocation.klass]
+        tenants = [name for name, n in self.config.tenants.items() if n == invocation.tenant]
+        return {
+            "name": invocation.name,
+            "class": invocation.klass_name,
+            "rule": [rule.aim, rule.deadline, rule.worth],
+            "tenant": tenants[0] if tenants else "",
+            "key": invocation.key,
+            "group": invocation.group,
+            "load": invocation.load,
+            "server": self.names[invocation.backend],
+        }
+
+    def imported(self, state: dict[str, Any]) -> Invocation:
+        """The same, on this side."""
+        aim, deadline, worth = state["rule"]
+        self.know(state["server"])
+        return Invocation(
+            klass=-1,
+            klass_name=str(state["class"]),
+            rule=api.RequestClass(aim=aim, deadline=deadline, worth=worth),
+            tenant=self.config.tenants.get(state["tenant"], 0),
+            key=int(state["key"]),
+            group=int(state["group"]),
+            load=float(state["load"]),
+            server=str(state["server"]),
+            name=str(state["name"]),
+            due=0,
+        )
+
     def adopt(self, invocation: Invocation) -> None:
         """The connection runs at its server already."""
         backend = self.numbers.get(invocation.server, 0)
@@ -412,6 +444,7 @@
 
     def load(self, invocation: Invocation, load: float) -> None:
         if invocation.open and invocation.known and math.isfinite(load):
+            invocation.load = load
             self._feed(api.LoadNote(invocation.number, invocation.attempt, invocation.backend, load))
 
     def cordon(self, server: str, out: bool, at: int = 0) -> bool:
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from typing import Any
 
 from arrowseam.facade import Config, Facade, Invocation
 from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Framer, Loop, Passage, Steps, clock, log
@@ -133,12 +134,13 @@
 
 
 class LineConsumer(Consumer):
-    def __init__(self, loop: Loop, conn: Conn, connect_timeout: int, opening: Opening) -> None:
+    def __init__(self, loop: Loop, conn: Conn, connect_timeout: int, opening: Opening | None) -> None:
         super().__init__(loop, conn, connect_timeout)
         self.opening = opening
         self.said = ServerLines()
 
     def greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
+        assert self.opening is not None  # one that was taken over stands already
         wait_ms = max(1, (due - clock()) // MS)
         if not (yield from server.send(self.opening.onward(wait_ms), due)):
             # Its last byte was not written, so it has never run.
@@ -187,6 +189,9 @@
     def last_word(self) -> bytes:
         return b"MOVE\r\n"
 
+    def export(self) -> dict[str, Any]:
+        return {"wire": "lines", "last": self.said.last.decode("latin-1")}
+
     def reject(self, retry_ms: int) -> Steps[None]:
         yield from self.answer(rejection_line(retry_ms))
 
@@ -231,14 +236,30 @@
             return
         conn.inbox.limit = EARLY
         consumer = LineConsumer(self.loop, conn, self.config.settings.limits.connect_timeout, opening)
-        invocation.left = lambda: conn.left
-        self.names.add(opening.name)
-        self.noted(opening.name, True)
+        yield from self._stay(invocation, consumer, self.relay.serve)
+
+    def take(self, conn: Conn, server: Conn, invocation: Invocation, state: dict[str, Any]) -> Steps[None]:
+        """Go on with what stood at another process of this proxy."""
+        consumer = LineConsumer(self.loop, conn, 0, None)
+        consumer.said.last = str(state["last"]).encode("latin-1")
+        consumer.passage = Passage(conn, server, Framer(), consumer.said)
+        consumer.passage.asked_at = state["asked"]
+        yield from self._stay(invocation, consumer, self.relay.take)
+
+    def _stay(
+        self,
+        invocation: Invocation,
+        consumer: LineConsumer,
+        life: Callable[[Invocation, Consumer], Steps[None]],
+    ) -> Steps[None]:
+        invocation.left = lambda: consumer.conn.left
+        self.names.add(invocation.name)
+        self.noted(invocation.name, True)
         try:
-            yield from self.relay.serve(invocation, consumer)
+            yield from life(invocation, consumer)
         finally:
-            self.names.discard(opening.name)
-            self.noted(opening.name, False)
+            self.names.discard(invocation.name)
+            self.noted(invocation.name, False)
 
     def hear(self, name: str, is_open: bool) -> None:
         """An id is in use at the other process of this proxy, or is not any more."""
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -25,7 +25,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable, Generator
-from typing import TypeAlias, TypeVar
+from typing import Any, TypeAlias, TypeVar
 
 Address: TypeAlias = tuple[str, int]
 T = TypeVar("T")
@@ -42,6 +42,7 @@
 # word.
 HEAR_OUT = 5 * SECOND
 HEAR_PACE = 2 * MS  # between two helpings of what is thrown away: its sender must not have the core to itself
+REST_MAX = 2048  # bytes of a message not whole yet that may go from one process to the other
 SCRATCH = bytearray(65536)  # what is thrown away is read into this and nowhere else
 WATCHED = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
 
@@ -250,6 +251,11 @@
             except OSError:
                 self.broken = True
 
+    @property
+    def sound(self) -> bool:
+        """Whether both ends still hold it, as far as is known."""
+        return not (self.eof or self.broken or self.hung or self.closed)
+
     def close(self, reset: bool = False) -> None:
         if self.closed:
             return
@@ -688,6 +694,24 @@
         consumer.loop.wake(consumer.owner)
         return None
 
+    def at_rest(self) -> bool:
+        """Whether another process could go on from here: both ends hold, no message is half passed on."""
+        return (
+            self.ended is None
+            and self.consumer.sound
+            and self.server.sound
+            and not (self.out_due or self.in_due or self.own or self.outward.mid or self.inward.mid)
+            and max(len(self.consumer.inbox), len(self.server.inbox)) <= REST_MAX
+        )
+
+    def export(self) -> dict[str, Any]:
+        """What has come and is not passed on, and since when the server owes an answer, on the one clock."""
+        return {
+            "outward": self.consumer.inbox.peek(REST_MAX).decode("latin-1"),
+            "inward": self.server.inbox.peek(REST_MAX).decode("latin-1"),
+            "asked": self.asked_at,
+        }
+
     def farewell(self, text: bytes, due: int) -> Steps[bool]:
         """Pass on the rest of the message under way, then our own last word; whether all of it went."""
         rest_due = clock() + (due - clock()) // 2
--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -348,6 +348,16 @@
             return None
         return max(self.passage.heard_at + ASK_AFTER, clock() + ASK_AFTER // 10)
 
+    def export(self) -> dict[str, Any]:
+        assert self.out is not None
+        return {"wire": "nats", "connect": self.connect.decode("latin-1"), "pings": list(self.out.pings)}
+
+    def take(self, server: Conn, pings: list[bool]) -> None:
+        """Go on with what stood at another process of this proxy."""
+        self._established(server)
+        assert self.out is not None
+        self.out.pings.extend(pings)
+
     def last_word(self) -> bytes:
         """Lame duck: the consumer is told to look for another server."""
         return self.front.info(ldm=True)
@@ -436,6 +446,15 @@
             consumer,
         )
 
+    def take(self, conn: Conn, server: Conn, invocation: Invocation, state: dict[str, Any]) -> Steps[None]:
+        """Go on with what stood at another process of this proxy."""
+        consumer = NatsConsumer(self, conn, str(state["connect"]).encode("latin-1"))
+        consumer.take(server, [bool(own) for own in state["pings"]])
+        assert consumer.passage is not None
+        consumer.passage.asked_at = state["asked"]
+        invocation.left = lambda: conn.left
+        yield from self.relay.take(invocation, consumer)
+
     def _connect(self, conn: Conn, due: int) -> Steps[bytes | None]:
         """The consumer's CONNECT; what it sends behind that stays in its buffer. None if it left."""
         pings = 0
--- a/arrowseam/net/upgrade.py
+++ b/arrowseam/net/upgrade.py
@@ -18,6 +18,7 @@
 import socket
 import struct
 import tempfile
+from collections import deque
 from collections.abc import Callable
 from hashlib import blake2b
 from pathlib import Path
@@ -32,6 +33,7 @@
 LINE_MAX = 65536
 TELL_EVERY = 100 * MS  # how often a changed number of descriptors is told
 MOST_SOCKETS = 16
+MOST_WAITING = 8  # messages not yet written, each with descriptors of its own
 
 
 def _own(sock: socket.socket) -> bool:
@@ -179,22 +181,75 @@
     return Offer(link, state, {name: socket.socket(fileno=fd) for name, fd in zip(names, fds)}, rest)
 
 
+class DescriptorConn(Conn):
+    """A connection on which descriptors come along; they are kept in the order in which they came."""
+
+    __slots__ = ("fds",)
+
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Any) -> None:
+        super().__init__(loop, sock, owner, LINE_MAX)
+        self.fds: deque[int] = deque()
+        self.readable = self.writable = True
+
+    def fill(self) -> bool:
+        size = len(self.inbox)
+        while self.readable and not self.eof and not self.broken and not self.inbox.full:
+            try:
+                data, fds, _, _ = socket.recv_fds(self.sock, LINE_MAX - len(self.inbox), MOST_SOCKETS)
+            except (BlockingIOError, InterruptedError):
+                self.readable = False
+                break
+            except OSError:
+                self.broken = self.eof = True
+                break
+            self.fds += fds
+            self.eof = not data
+            self.inbox.put(data)
+        return len(self.inbox) > size
+
+    def close(self, reset: bool = False) -> None:
+        while self.fds:
+            os.close(self.fds.popleft())
+        super().close(reset)
+
+
 class Link:
     """The line to the other process of this proxy, for as long as both live."""
 
-    def __init__(self, loop: Loop, conn: Conn, hear: Callable[[dict[str, Any]], None]) -> None:
+    def __init__(
+        self, loop: Loop, conn: DescriptorConn, hear: Callable[[dict[str, Any], DescriptorConn], None]
+    ) -> None:
         self.loop, self.conn, self.hear = loop, conn, hear
-        self.out = bytearray()
+        self.out: deque[tuple[bytes, list[int]]] = deque()  # what is to be said, and descriptors with it
         self.told = -1
 
-    def say(self, **what: Any) -> None:
-        self.out += json.dumps(what).encode() + b"\n"
-        self.loop.wake(self.conn.owner)
+    def say(self, *conns: Conn, **what: Any) -> None:
+        """Say something, with copies of what some connections hold."""
+        self.out.append((json.dumps(what).encode() + b"\n", [os.dup(conn.fd) for conn in conns]))
+        self.push()
+
+    def push(self) -> None:
+        """Write what the other process takes now."""
+        while self.out and self.conn.writable and not self.conn.broken and not self.conn.closed:
+            data, fds = self.out.popleft()
+            try:
+                sent = socket.send_fds(self.conn.sock, [data], fds) if fds else self.conn.push(data)
+            except (BlockingIOError, InterruptedError):
+                self.conn.writable, sent = False, 0
+            except OSError:
+                self.conn.broken, sent = True, 0
+            if sent:
+                for fd in fds:
+                    os.close(fd)
+                fds = []
+            if sent < len(data):
+                self.out.appendleft((data[sent:], fds))
+                if self.conn.broken:
+                    break
 
     def run(self) -> Steps[None]:
         """Until the other process has ended."""
         conn = self.conn
-        conn.inbox.limit = LINE_MAX
         try:
             while True:
                 conn.fill()
@@ -202,7 +257,7 @@
                     try:
                         told = json.loads(conn.inbox.take(at + 1))
                         if isinstance(told, dict):
-                            self.hear(told)
+                            self.hear(told, conn)
                     except (ValueError, TypeError, KeyError) as error:
                         log(f"upgrade: what the other process says makes no sense: {error!r}")
                 if conn.eof or conn.closed or conn.inbox.full:
@@ -210,12 +265,15 @@
                 held = len(self.loop.conns)
                 if held != self.told:
                     self.told = held
-                    self.out += json.dumps({"held": held}).encode() + b"\n"
-                if self.out:
-                    del self.out[: conn.push(bytes(self.out))]
+                    self.say(held=held)
+                self.push()
                 yield clock() + TELL_EVERY
         finally:
             self.loop.elsewhere = 0
+            for _, fds in self.out:
+                for fd in fds:
+                    os.close(fd)
+            self.out.clear()
             conn.close()
 
 
@@ -233,6 +291,7 @@
         self.opened: Callable[[str, bool], None] = lambda name, is_open: None
         self.gone: Callable[[], None] = lambda: None
         self.retire: Callable[[], None] = lambda: None
+        self.take: Callable[[dict[str, Any], socket.socket, socket.socket], None] = lambda state, *socks: None
 
     def open(self) -> None:
         """From now on a new process may ask us."""
@@ -250,16 +309,14 @@
         self.serving = False
         self.loop.elsewhere = int(offer.state.get("held", 0))
         task = self.loop.spawn(self._begin(offer), "upgrade", urgent=True)
-        conn = Conn(self.loop, offer.link, task)
-        conn.readable = conn.writable = True
-        conn.inbox.limit = LINE_MAX
+        conn = DescriptorConn(self.loop, offer.link, task)
         conn.inbox.put(offer.more)
         self.link = Link(self.loop, conn, self._hear)
-        self.link.say(ready=offer.taken)
 
     def _begin(self, offer: Offer) -> Steps[None]:
         assert self.link is not None
         try:
+            self.link.say(ready=offer.taken)
             yield from self.link.run()
         finally:
             self.link = None
@@ -292,19 +349,24 @@
         except OSError as error:
             log(f"upgrade: {error}")
             return
-        self.link = Link(self.loop, conn, self._hear)
+        # The same socket, as one on which descriptors may come along.
+        self.loop.forget(conn)
+        both = DescriptorConn(self.loop, conn.sock, conn.owner)
+        conn.closed = True
+        self.link = Link(self.loop, both, self._hear)
         try:
             # What happens from here on is said after the state, in order.
-            if (yield from conn.send(data[sent:], clock() + SAY_WITHIN)):
+            if (yield from both.send(data[sent:], clock() + SAY_WITHIN)):
                 log("upgrade: a new process takes over")
                 yield from self.link.run()
         finally:
+            both.close()
             self.link = None
             self.gone()
             if self.listener is not None:
                 log("upgrade: the new process has ended first; going on")
 
-    def _hear(self, told: dict[str, Any]) -> None:
+    def _hear(self, told: dict[str, Any], conn: DescriptorConn) -> None:
         match told:
             case {"ready": list(names)}:
                 for listener in list(self.loop.listeners):
@@ -318,6 +380,14 @@
                 self.retire()
             case {"released": True}:
                 self._released()
+            case {"stands": dict(state)}:
+                pair = [socket.socket(fileno=conn.fds.popleft()) for _ in range(2)]
+                try:
+                    self.take(state, pair[0], pair[1])
+                except (KeyError, ValueError, TypeError) as error:
+                    log(f"upgrade: a connection could not be taken up: {error!r}")
+                    for sock in pair:
+                        sock.close()
             case {"cordon": str(server), "out": bool(out)}:
                 self.cordon(server, out)
             case {"id": str(name), "open": bool(is_open)}:
@@ -325,6 +395,13 @@
             case {"held": int(held)}:
                 self.loop.elsewhere = held
 
+    def give(self, state: dict[str, Any], consumer: Conn, server: Conn) -> bool:
+        """Hand what stands to the new process, if that is there."""
+        if self.link is None or self.link.conn.broken or len(self.link.out) >= MOST_WAITING:
+            return False
+        self.link.say(consumer, server, stands=state)
+        return True
+
     # --- as either ---
 
     def tell_cordon(self, server: str, out: bool) -> None:
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -11,6 +11,7 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 from arrowseam.facade import Call, Config, Facade, Invocation, Left, Rejection
 from arrowseam.net.loop import MS, SECOND, Address, Conn, Loop, Passage, Steps, clock, log, parse_address
@@ -59,6 +60,10 @@
     def fail(self) -> Steps[None]:
         """Final answer: failed."""
 
+    @abstractmethod
+    def export(self) -> dict[str, Any]:
+        """What another process of this proxy must know of the wire to go on with what stands."""
+
     def address(self, server_name: str, address: Address) -> Address | None:
         """Where this wire reaches a server; None where it does not."""
         return address
@@ -145,6 +150,9 @@
         self.trace = False  # log every call and every end
         self.random = random.Random(config.seed)
         self.listeners: list[Callable[[], None]] = []  # closed when the drain is over
+        # Set while another process of this proxy takes what stands; whether it has been sent there.
+        self.pass_on: Callable[[Invocation, Consumer], bool] | None = None
+        self.pending: Callable[[], bool] = lambda: False  # whether some of it is still on its way there
         self.quiet = 0
         loop.turn = self.turn
 
@@ -179,6 +187,14 @@
     # --- one invocation ---
 
     def serve(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
+        yield from self._serve(invocation, consumer, self._place)
+
+    def _serve(
+        self,
+        invocation: Invocation,
+        consumer: Consumer,
+        life: Callable[[Invocation, Consumer], Steps[None]],
+    ) -> Steps[None]:
         self.count += 1
         number = self.count
         self.live[number] = invocation
@@ -186,7 +202,7 @@
         invocation.wake = lambda: self.loop.wake(task)
         consumer.sent = lambda: self.dispatched(invocation)
         try:
-            yield from self._place(invocation, consumer)
+            yield from life(invocation, consumer)
         except Exception:
             # A fault here must not leave the module holding what is gone, nor a consumer without its answer.
             self.facade.gone(invocation)
@@ -262,6 +278,20 @@
                 yield again
         return False
 
+    def give(self, pass_on: Callable[[Invocation, Consumer], bool], pending: Callable[[], bool]) -> None:
+        """From now on what stands goes to another process; what is being placed does when it stands."""
+        self.pass_on, self.pending = pass_on, pending
+        for invocation in self.live.values():
+            invocation.wake()
+
+    def take(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
+        """Go on with what stood at another process of this proxy."""
+        yield from self._serve(invocation, consumer, self._taken)
+
+    def _taken(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
+        self.facade.adopt(invocation)
+        yield from self._hold(invocation, consumer)
+
     def _hold(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
         """From the moment it stands to its end."""
         while True:
@@ -285,6 +315,12 @@
                 invocation.over = True
                 yield from consumer.farewell(clock() + SECOND)
                 return
+            if self.pass_on is not None and not invocation.move:
+                if self.pass_on(invocation, consumer):
+                    self.facade.report(invocation, "moved")
+                    return  # closing our copies tells nobody anything: the other process holds them too
+                yield clock() + 20 * MS  # in the middle of a message: soon again
+                continue
             if invocation.move:
                 if self.trace:
                     log(f"move: {invocation.name} off {self.facade.names[invocation.backend]}")
@@ -334,7 +370,7 @@
                 yield pause
         for close in self.listeners:
             close()
-        while self.live:
+        while self.live or self.pending():
             yield clock() + 20 * MS
         log("drained")
         self.loop.stopped = True
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,7 +14,7 @@
 import pytest
 from network import World, free_port
 
-from arrowseam.net.loop import Steps, clock
+from arrowseam.net.loop import SECOND, Steps, clock
 from arrowseam.net.upgrade import Station
 
 
@@ -193,3 +193,61 @@
         assert link is not None
         link.close()
     assert len(list(folder.iterdir())) == 1
+
+
+def test_what_stands_goes_on_at_the_new_process_and_no_byte_is_lost(pair):
+    """Neither end notices: no move, no end; half a message and questions unanswered cross with it."""
+    w = pair.world
+    old = pair.start()
+    seen = w.up(20)
+    for server in w.servers:
+        server.say(w.words["half"])
+    w.run(0.1)
+    new = pair.start()
+    w.until(lambda: old.poll() == 0, 4)
+    for server in w.servers:
+        server.say(w.words["rest"])
+    whole = w.words["half"] + w.words["rest"]
+    w.until(lambda: all(whole in c.got for c in seen))
+    for consumer in seen:
+        consumer.say(w.words["ask"])
+    w.until(lambda: all(c.has("reply") for c in seen))
+    assert not any(c.ended_at or c.has("moved") for c in seen)
+    found = w.figures()
+    assert found["edge.concurrent"] == 20 and found["edge.replies.tech.success"] == 0
+    seen[0].conn.close()  # whoever leaves frees both sides here too
+    w.until(lambda: w.figures()["edge.concurrent"] == 19)
+    new.send_signal(signal.SIGTERM)  # and the next drain moves them
+    w.until(lambda: all(c.ended_at for c in seen[1:]))
+    assert all(c.has("moved") for c in seen[1:])
+
+
+def test_a_connection_taken_over_is_still_moved_off_a_cordoned_server(pair):
+    w = pair.world
+    pair.start()
+    seen = w.up(12)
+    assert w.servers[0].live
+    pair.start()
+    w.run(0.2)
+    assert pair.call(b"cordon s0\n") == b"ACK\n"
+    w.until(lambda: not w.servers[0].live, 8)
+    assert {c.has("moved") for c in seen} == {True, False}
+
+
+def test_what_is_in_the_middle_of_a_message_waits_and_is_moved_at_the_last(pair):
+    """A message longer than may be kept whole cannot cross: it is passed on to its end where it began."""
+    w = pair.world
+    old = pair.start()
+    (consumer,) = w.up()
+    (server,) = [s for s in w.servers if s.live]
+    size = 200_000
+    head = b"MSG a 1 %d\r\n" % size if w.wire == "nats" else b""
+    server.say(head + b"x" * 40_000)
+    w.until(lambda: len(consumer.got) > 10_000)
+    pair.start()
+    w.run(0.1)
+    assert old.poll() is None
+    rest = b"x" * (size - 40_000) + b"\r\n"
+    w.loop.spawn(server.live[0].send(rest, clock() + 5 * SECOND), "rest")
+    w.until(lambda: old.poll() == 0, 4)
+    assert len(consumer.got) >= size and not consumer.ended_at
