A cold server holds no more than it can likely carry so far, where slow messages are not told

A trace shows the largest server cordoned at 12.8 s while three of the five left had just started: its 40 connections a proxy went onto them in 2 s, and nobody there was served in time. _afford rations a cold server by the rule on cold servers (4 x 0.12 x 2 = 0.96 of its traffic), which is no bound on what it can carry for 28 s each. Now _brimful bounds it by quotas, weight, groups and age. Ruled out: refusals (the first came at 16 s), the hand-over (no connection met the door), the calls (none late).

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -183,6 +183,7 @@
 LEVEL_SHARE = 0.1  # of the connections held there, moved at a time, once a second
 LEAVE_SHARE = 0.5  # the same of a backend that drains, which stops a few seconds later
 LEVEL_DOUBT = 1.0  # standard deviations
+LIKELY = 1.5  # how much better than the slowest allowed a backend is likely to warm up
 SPARE = 0.8  # with more of the fleet taken than this there is no better place to move to
 CROSSING = 0.1  # price of a crossing at which other zones keep 1/e of their share
 
@@ -318,6 +319,10 @@
         self.ready = ready
         self.cumulative = list(accumulate(s.share for s in ready))
         self.total = self.cumulative[-1] if ready else 0
+        # What the quotas speak of is the whole fleet. Guards against backends that seem to grow when another
+        # is taken out: then each has more to carry, and can carry no more than before.
+        whole = [s.listed for s in self.servers.values() if s.state is BackendState.READY]
+        self.listed = max(self.listed, sum(whole))
         self.home = sum(s.zone == zone for s in ready)
 
     def _next(self, job: Job) -> Server | None:
@@ -470,6 +475,8 @@
         self._calm()
         if not self._rationed(server):
             return True
+        if self._brimful(server):
+            return False
         strikes = self._strikes(server)
         warmth = self._warmth(server) if server.born else 1.0
         rules = self.settings.rules
@@ -487,6 +494,24 @@
         server.tokens = max(0.0, tokens - 1.0)
         return self.random() < tokens
 
+    def _brimful(self, server: Server) -> bool:
+        """Whether a cold backend holds all that it can likely carry so far; where slow messages are not told.
+
+        Guards against a crowd that is moved off one backend onto others that have just started: there none is
+        served in time until they are warm. Those that wait or come again cost the backends nothing.
+        """
+        rules = self.settings.rules
+        age = self.now - server.born
+        if self.settings.tells_delay or not self.connections or not self.listed or age >= rules.warm_up:
+            return False
+        mean = self.load / self.connections
+        groups = {self.jobs[n].group for n in server.open} - {0} if self.settings.groups else ()
+        held = self.settings.relays * (server.load / max(mean, 1e-9) + 1.0) + GROUP_COST * len(groups)
+        # The rules go by the slowest that may be; most backends start higher and are warm sooner.
+        low = min(1.0, LIKELY * rules.cold_share)
+        warmth = min(1.0, low + (1.0 - low) * LIKELY * max(0, age) / rules.warm_up)
+        return held > warmth * self.capacity * server.listed / self.listed > 0.0
+
     def _calm(self) -> float:
         """The share of the fleet, by weight, without a strike; looked up less often the more there is."""
         if self.now - self.calm_at >= SECOND // 10 + (len(self.serving) + len(self.struck)) * SECOND // 1000:
@@ -856,11 +881,7 @@
         """
         if self.changed:
             self._reweigh()
-        relays = self.settings.relays
-        # What the quotas speak of is the whole fleet. Guards against servers that seem to grow when another
-        # is taken out: then each has more to carry, and can carry no more than before.
-        whole = [s for s in self.servers.values() if s.state is BackendState.READY]
-        listed = self.listed = max(self.listed, sum(s.listed for s in whole))
+        relays, listed = self.settings.relays, self.listed
         usable = self.capacity * sum(s.listed for s in self.ready) / max(1, listed)
         if self._jammed():
             return  # set-ups fail: who leaves now may not get in again
