--- a/tests/network.py
+++ b/tests/network.py
@@ -62,7 +62,8 @@
 
 class Server:
     """A stand-in server. ``mode`` says how it answers a first line: up, busy, error, reset, silent (takes it
-    and says nothing), half (stalls midway through its greeting), or deaf (says nothing after UP)."""
+    and says nothing), half (stalls midway through its greeting), deaf (says nothing after UP), or drip (up,
+    each byte of its greeting and answer by itself)."""
 
     def __init__(self, world: World, name: str, mode: str) -> None:
         self.world, self.name, self.mode = world, name, mode
@@ -82,9 +83,7 @@
         self.world.most_flying = max(self.world.most_flying, self.world.flying)
         answered = False
         try:
-            yield from conn.send(
-                words["half greeting"] if mode == "half" else words["greeting"], clock() + SECOND
-            )
+            yield from self.send(conn, words["half greeting"] if mode == "half" else words["greeting"])
             while not conn.eof and not conn.closed:
                 if not conn.fill():
                     if not conn.eof:
@@ -103,19 +102,25 @@
                         return
                     answered = True
                     self.world.flying -= 1
-                    yield from conn.send(
-                        b"UP r1\r\n" if self.world.wire == "lines" else b"", clock() + SECOND
-                    )
+                    yield from self.send(conn, b"UP r1\r\n" if self.world.wire == "lines" else b"")
                     data = b"" if self.world.wire == "lines" else data
                 if self.world.wire == "lines":
                     yield from conn.send(data, clock() + SECOND)
                 else:
-                    yield from conn.send(b"PONG\r\n" * data.count(b"PING\r\n"), clock() + SECOND)
+                    yield from self.send(conn, b"PONG\r\n" * data.count(b"PING\r\n"))
                     yield from conn.send(words["reply"] * data.count(b"PUB "), clock() + SECOND)
         finally:
             self.live.remove(conn)
             self.world.flying -= not answered
 
+    def send(self, conn: Conn, data: bytes) -> Steps[None]:
+        size = 1 if self.mode == "drip" else len(data) or 1
+        for at in range(0, len(data), size):
+            yield from conn.send(data[at : at + size], clock() + SECOND)
+            pause = clock() + 500
+            while size < len(data) and clock() < pause:
+                yield pause
+
     def say(self, data: bytes) -> None:
         for conn in self.live:
             assert conn.push(data) == len(data)
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -6,9 +6,10 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import pytest
-from network import SETTINGS, World
+from network import SETTINGS, Consumer, World
 
 from arrowseam.net.loop import SECOND, Conn, Steps, clock
 
@@ -290,3 +291,56 @@
     heard = Counter(s.name for s in w.servers for got in s.heard if early in got)
     assert heard == ({"s3": 1} if consumer.has("up") else {})
     assert sum(bytes(got).count(early) for got in w.servers[3].heard) == heard["s3"]
+
+
+def test_messages_may_be_cut_at_any_byte(world):
+    """Openings, greetings, answers and messages both ways: each in two parts, cut at each of its bytes."""
+    w = world("drip")
+
+    def cut(data: bytes, say: Callable[[int, bytes], None]) -> None:
+        """Say the data on one connection for each cut, in two parts that arrive apart."""
+        cuts = range(1, len(data))
+        for n in cuts:
+            say(n, data[:n])
+        w.run(0.05)
+        for n in cuts:
+            say(n, data[n:])
+
+    whole = w.words["open"](0, b"tech")
+    seen: dict[int, Any] = {}
+
+    def open_or_say(n: int, part: bytes) -> None:
+        if n in seen:
+            seen[n].say(w.words["open"](n, b"tech")[n:])
+        else:
+            seen[n] = Consumer(w, w.words["open"](n, b"tech")[:n])
+
+    cut(whole, open_or_say)
+    w.until(lambda: all(c.has("up") for c in seen.values()))
+    server = w.servers[0]
+    server.mode = "up"
+    before = [len(c.got) for c in seen.values()]
+    ask = w.words["ask"]
+    cut(ask, lambda n, part: seen[n].say(part))
+    w.until(lambda: sum(c.has("reply") for c in seen.values()) == len(ask) - 1)
+    assert sum(ask in got for got in server.heard) == len(ask) - 1
+    assert sum(len(c.got) > b for c, b in zip(seen.values(), before)) == len(ask) - 1
+    for consumer in seen.values():
+        consumer.got.clear()
+    news = w.words["half"] + w.words["rest"]
+    live = list(server.live)
+    cut(news, lambda n, part: live[n].push(part) and None)
+    w.until(lambda: sum(bytes(c.got) == news for c in seen.values()) == len(news) - 1)
+
+
+def test_who_walks_away_at_any_moment_frees_everything_at_once(world):
+    w = world("up", "silent", "half")
+    base = len(w.loop.conns)
+    opening = w.words["open"](1, b"tech")
+    seen = [Consumer(w, w.words["open"](n, b"tech")[: 1 + n * 3]) for n in range(len(opening) // 3 + 5)]
+    w.until(lambda: all(c.conn is not None for c in seen) and len(w.relay.live) >= 4)
+    for consumer in seen:
+        consumer.conn.close()
+    w.until(lambda: not w.relay.live and not w.relay.facade.invocations, 2)
+    w.until(lambda: not w.relay.facade.balancer.jobs and not w.proxy.front.names, 2)
+    w.until(lambda: not any(s.live for s in w.servers) and len(w.loop.conns) <= base + 3, 2)
