Round the room on a cold server by a draw of each relay, so that many come out right together

Seen (herd, 14 proxies, 10 die during a release): with whole connections each proxy reckons relays x 1 for its first, so none uses a cold server until it could carry 14, and then all do at once. Each relay draws once, for each start of a server, where between two connections its part ends.

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -50,9 +50,9 @@
     """A backend as this relay knows it."""
 
     __slots__ = (
-        "awaited", "back_at", "cell", "entry", "held", "id", "listed", "load", "open", "probers", "reported",
-        "reported_at", "share", "slow_at", "started", "state", "strikes", "struck_at", "tokens", "tokens_at",
-        "zone",
+        "awaited", "back_at", "cell", "entry", "held", "id", "listed", "load", "lot", "open", "probers",
+        "reported", "reported_at", "share", "slow_at", "started", "state", "strikes", "struck_at", "tokens",
+        "tokens_at", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.Backend) -> None:
@@ -83,6 +83,7 @@
         """A process that has started anew owes nothing to what its predecessor did."""
         self.strikes, self.struck_at = 0.0, now
         self.tokens, self.tokens_at = 0.0, now
+        self.lot = -1.0  # where between two connections this relay's part of its room ends
 
 
 class Mean:
@@ -506,7 +507,12 @@
             return False
         mean = self.load / self.connections
         groups = {self.jobs[n].group for n in server.open} - {0} if self.settings.groups else ()
-        held = self.settings.relays * (server.load / max(mean, 1e-9) + 1.0) + GROUP_COST * len(groups)
+        if server.lot < 0.0:
+            # Whole connections of many relays may be far more than there is room for, or none at all: each
+            # draws once where it rounds, and together they come out right.
+            server.lot = self.random()
+        held = self.settings.relays * (server.load / max(mean, 1e-9) + server.lot)
+        held += GROUP_COST * len(groups)
         # The rules go by the slowest that may be; most backends start higher and are warm sooner.
         low = min(1.0, LIKELY * rules.cold_share)
         warmth = min(1.0, low + (1.0 - low) * LIKELY * max(0, age) / rules.warm_up)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -233,3 +233,22 @@
     w.control(b"health\n")
     w.until(lambda: sum(isinstance(c, Conn) for c in w.loop.conns.values()) == before)
     w.close()
+
+
+def test_a_cold_server_is_given_no_more_than_it_can_likely_carry():
+    """Moves off one server fell on those that had just started, where then nobody was served in time."""
+    quota = (api.Tenant(share=1.0, connections=82.0),)  # the fleet: a hundred connections, each server ten
+    for relays, most in ((1, 3), (20, 6)):
+        placed = 0
+        for seed in range(relays):
+            balancer = relay(
+                backends(10), seed=seed, relays=relays, relay=seed, tenants=quota, tells_delay=False
+            )
+            balancer.handle(START, [ask(n) for n in range(40 // relays + 1)])
+            restarted = api.Backend(100, started=START)
+            balancer.handle(START, [api.BackendList(api.ListKind.CHANGES, 2, (restarted,))])
+            held = [n for n, job in balancer.jobs.items() if job.server and job.server.id == 100]
+            balancer.handle(START, [api.ClientGone(n) for n in held])
+            asked = balancer.handle(START, [ask(100 + n, load=1.0) for n in range(60 // relays + 1)])
+            placed += sum(send.backend == 100 for send in sends(asked))
+        assert 0 < placed <= most
