Harden the hand-over: truncated descriptors end the link, a hung old process delays for 2 s only

A dup that fails cut the connection that was to cross; it is tried again. An old process that hands over and then hangs kept health at NAK for ever; yes comes 2 s later all the same. Both tests fail without the change.

--- a/arrowseam/net/upgrade.py
+++ b/arrowseam/net/upgrade.py
@@ -29,6 +29,7 @@
 HELLO = b'{"hello":1}\n'
 ANSWER_WITHIN = 2.0  # seconds that a new process waits for the old one's answer at its start
 SAY_WITHIN = 2 * SECOND
+RELEASE_WITHIN = 2 * SECOND  # the new process says yes by then though the old one has not let go
 STATE_MAX = 8 << 20
 LINE_MAX = 65536
 TELL_EVERY = 100 * MS  # how often a changed number of descriptors is told
@@ -195,7 +196,7 @@
         size = len(self.inbox)
         while self.readable and not self.eof and not self.broken and not self.inbox.full:
             try:
-                data, fds, _, _ = socket.recv_fds(self.sock, LINE_MAX - len(self.inbox), MOST_SOCKETS)
+                data, fds, flags, _ = socket.recv_fds(self.sock, LINE_MAX - len(self.inbox), MOST_SOCKETS)
             except (BlockingIOError, InterruptedError):
                 self.readable = False
                 break
@@ -203,6 +204,11 @@
                 self.broken = self.eof = True
                 break
             self.fds += fds
+            if flags & socket.MSG_CTRUNC:
+                # No descriptor was free for one of them. Guards against pairing one client with another's
+                # server: what came is closed, and nothing more is taken from there.
+                self.broken = self.eof = True
+                break
             self.eof = not data
             self.inbox.put(data)
         return len(self.inbox) > size
@@ -225,7 +231,15 @@
 
     def say(self, *conns: Conn, **what: Any) -> None:
         """Say something, with copies of what some connections hold."""
-        self.out.append((json.dumps(what).encode() + b"\n", [os.dup(conn.fd) for conn in conns]))
+        fds: list[int] = []
+        try:
+            for conn in conns:
+                fds.append(os.dup(conn.fd))
+        except OSError:
+            for fd in fds:
+                os.close(fd)
+            raise
+        self.out.append((json.dumps(what).encode() + b"\n", fds))
         self.push()
 
     def push(self) -> None:
@@ -284,7 +298,8 @@
         self.loop, self.station = loop, station
         self.link: Link | None = None
         self.listener: Listener | None = None
-        self.serving = True  # False while the old process still takes clients too
+        self.released = True  # False while the old process still takes clients too
+        self.begun = 0
         # How the rest of the proxy is asked and told; plain values.
         self.state: Callable[[], dict[str, Any]] = dict
         self.cordon: Callable[[str, bool], None] = lambda server, out: None
@@ -302,11 +317,16 @@
             return
         self.listener = Listener(self.loop, sock, "upgrade", self.serve, urgent=True)
 
+    @property
+    def serving(self) -> bool:
+        """Whether clients come here alone; an old process that hangs does not stand in the way for long."""
+        return self.released or clock() >= self.begun + RELEASE_WITHIN
+
     # --- as the new process ---
 
     def begin(self, offer: Offer) -> None:
         """Everything is set up and accepts: tell the old process, and serve once it has let go."""
-        self.serving = False
+        self.released, self.begun = False, clock()
         self.loop.elsewhere = int(offer.state.get("held", 0))
         task = self.loop.spawn(self._begin(offer), "upgrade", urgent=True)
         conn = DescriptorConn(self.loop, offer.link, task)
@@ -325,8 +345,8 @@
             log("upgrade: the old process has ended")
 
     def _released(self) -> None:
-        if not self.serving:
-            self.serving = True
+        if not self.released:
+            self.released = True
             self.open()
 
     # --- as the old process ---
@@ -381,6 +401,8 @@
             case {"released": True}:
                 self._released()
             case {"stands": dict(state)}:
+                if len(conn.fds) < 2:
+                    raise ValueError("its sockets are missing")
                 pair = [socket.socket(fileno=conn.fds.popleft()) for _ in range(2)]
                 try:
                     self.take(state, pair[0], pair[1])
@@ -399,7 +421,10 @@
         """Hand what stands to the new process, if that is there."""
         if self.link is None or self.link.conn.broken or len(self.link.out) >= MOST_WAITING:
             return False
-        self.link.say(consumer, server, stands=state)
+        try:
+            self.link.say(consumer, server, stands=state)
+        except OSError:
+            return False  # no descriptor is free: it is tried again, and moved at the last
         return True
 
     # --- as either ---
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -14,8 +16,8 @@
 import pytest
 from network import World, free_port
 
-from arrowseam.net.loop import SECOND, Steps, clock
-from arrowseam.net.upgrade import Station
+from arrowseam.net.loop import SECOND, Conn, Listener, Loop, Steps, clock
+from arrowseam.net.upgrade import DescriptorConn, Link, Station
 
 
 class Pair:
@@ -251,3 +253,53 @@
     w.loop.spawn(server.live[0].send(rest, clock() + 5 * SECOND), "rest")
     w.until(lambda: old.poll() == 0, 4)
     assert len(consumer.got) >= size and not consumer.ended_at
+
+
+def test_an_old_process_that_hangs_does_not_keep_the_new_one_from_serving(pair):
+    """It hands over and then never lets go: a stand-in."""
+    w = pair.world
+    state = {"list": {"generation": 1, "reset": True, "instances": [s.row for s in w.servers]}, "sockets": []}
+    heard: list[bytes | None] = []
+
+    def old(conn: Conn) -> Steps[None]:
+        yield from conn.line(1000, clock() + SECOND)
+        yield from conn.send(json.dumps(state).encode() + b"\n", clock() + SECOND)
+        heard.append((yield from conn.line(1000, clock() + 9 * SECOND)))
+        while not conn.eof:
+            yield None
+
+    Listener(w.loop, Station(pair.folder, "n0", pair.doc["listen"]).open(), "old", old)
+    pair.begin()
+    w.until(lambda: heard == [b'{"ready": []}\n'], 8)
+    assert not pair.call(b"health\n").startswith(b"ACK")
+    w.until(lambda: pair.call(b"health\n") == b"ACK\n", 5)
+    w.up(5)
+
+
+def test_sockets_that_do_not_all_arrive_are_never_paired(tmp_path):
+    """With no descriptor free the kernel drops some: a client must not get another client's server."""
+    loop = Loop()
+    ours, theirs = socket.socketpair()
+    conn = DescriptorConn(loop, ours, None)
+    names: list[object] = []
+    link = Link(loop, conn, lambda told, at: names.append(told))
+    spare = [socket.socket() for _ in range(3)]
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    socket.send_fds(theirs, [b'{"stands":{}}\n'], [sock.fileno() for sock in spare[:2]])
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(sock.fileno() for sock in spare) + 4, hard))
+    try:
+        fillers = []
+        with contextlib.suppress(OSError):
+            while True:
+                fillers.append(os.dup(0))
+        os.close(fillers.pop())
+        next(link.run(), None)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for fd in fillers:
+            os.close(fd)
+    assert conn.closed and not names and not conn.fds
+    for sock in (*spare, theirs):
+        sock.close()
+    loop.epoll.close()
+    os.close(loop.spare)
