--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -126,12 +126,18 @@
     old = pair.start()
     old_control = w.addresses["control"]
     assert pair.call(b"cordon s0\n") == b"ACK\n"
+    for server in w.servers:
+        server.mode = "silent"
+    w.consumer()
+    w.until(lambda: w.flying)  # which keeps the old process there for a while
     new = pair.start()
     new_control = w.addresses["control"]
     w.addresses["control"] = old_control  # the old one is still there, and is asked
     assert pair.call(b"uncordon s0\n") == b"ACK\n" and pair.call(b"cordon s1\n") == b"ACK\n"
     w.addresses["control"] = new_control
     w.run(0.2)
+    for server in w.servers:
+        server.mode = "up"
     before = len(w.servers[1].heard)
     w.up(10)
     assert len(w.servers[1].heard) == before
