Give tests ports the system hands to nobody else, and refuse two listeners on one address

Checked: the last part of the test starts nothing that the broken file could change (reload returns before it). 20,000 worlds of tests/network.py, opened and closed: in 5 of them the NATS front had the port of the front or of control. free_port closes the port it found and names it, the next listeners ask for port 0 and may be given just that one, and SO_REUSEPORT then lets both listen: half the connections go to the wrong front. A standstill of 0.45 s between a dial and its answer gives BUSY in the same place (stand-ins share the proxy's loop), nothing shorter does. At fault: free_port in tests/network.py; and for users, that two keys of the configuration could name one address unnoticed since listeners set SO_REUSEPORT.

--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -48,7 +48,13 @@
             parse_address(text)
         except ValueError as error:
             raise ConfigError(f"configuration: {what}: {error}") from None
-    return config, nats.read_nats_config(Path(nats_path).read_bytes(), config) if nats_path else None
+    second = nats.read_nats_config(Path(nats_path).read_bytes(), config) if nats_path else None
+    own = [parse_address(text) for text in (config.listen, config.control) if text]
+    own += [a for a in (second.listen, second.health, second.agent) if a] if second is not None else []
+    if len(own := [address for address in own if address[1]]) > len(set(own)):
+        # the system would not refuse it: each would be given some of the other's connections
+        raise ConfigError("configuration: two things listen on one address")
+    return config, second
 
 
 def load(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -18,6 +18,7 @@
 from network import LANE, SETTINGS, World, free_port
 
 from arrowseam import api, relay
+from arrowseam.__main__ import read
 from arrowseam.facade import ConfigError, read_config, read_listing
 from arrowseam.net import lines, nats
 from arrowseam.net.loop import MS, SECOND, Buffer, Conn, Steps, clock, parse_address
@@ -566,3 +567,26 @@
         for asker in askers:
             assert asker.recv(100).startswith((b"BUSY", b"ERR"))
             asker.close()
+
+
+@pytest.mark.parametrize("key", ["control", "listen", "health", "agent"])
+def test_two_things_on_one_address_are_refused_at_start(tmp_path, key):
+    # the listening sockets share an address with the process before them, so the system would let them
+    port = free_port()
+    doc = {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS}
+    second = {"listen": f"127.0.0.1:{free_port()}"}
+    (doc if key == "control" else second)[key] = f"127.0.0.1:{port}"
+    paths = [tmp_path / "config.json", tmp_path / "nats.json"]
+    for path, text in zip(paths, (doc, second), strict=True):
+        path.write_text(json.dumps(text))
+    with pytest.raises(ConfigError, match="one address"):
+        read(*map(str, paths))
+    (doc if key == "control" else second)[key] = f"127.0.0.1:{free_port()}"
+    for path, text in zip(paths, (doc, second), strict=True):
+        path.write_text(json.dumps(text))
+    assert read(*map(str, paths))[0].listen == doc["listen"]
+
+
+def test_ports_for_tests_are_none_that_the_system_gives_for_port_0():
+    lowest = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    assert all(1024 < free_port() < lowest for _ in range(50))
