Keep groups together and bound servers where a short fleet is asked for most it can carry

A trace by second: at 13 s each proxy has 13, 11 and 19 connections with 6, 8 and 11 groups on servers that carry 28, 28 and 52 by the quotas: by group costs 2.4 times what they can. Lines at fault: _afford bounds cold servers only, _next draws afresh for each connection, so each server pays for nearly every group; _level moves nothing while no other server has room. Design: while under 85% of the weight once ready is left, the order is drawn from group and server, the same at every proxy (the ordinary path keeps its fresh draw); once 70% of what is left is asked for, no server is filled past three quarters of its part, the rest waits, and overfull servers are thinned. Servers are numbered from their names, so that proxies and the next process agree. Not taken: a per-server limit learnt from mass sheds, which comes after the loss.

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 import random
 from bisect import bisect
@@ -43,6 +44,12 @@
     return [max(1, (locality[zone] * (weight * ONE // zones[zone])) >> 31) for zone, weight in servers]
 
 
+def _spot(group: int, number: int) -> float:
+    """Where a group stands at a backend, in (0, 1]: by chance, but the same at every relay."""
+    digest = hashlib.blake2b(b"%x %x" % (group, number), digest_size=4).digest()
+    return (int.from_bytes(digest, "big") + 1) / (1 << 32)
+
+
 # --- what is held of each backend and each request ---------------------------------------------------------
 
 
@@ -186,6 +193,9 @@
 LEVEL_DOUBT = 1.0  # standard deviations
 LIKELY = 1.5  # how much better than the slowest allowed a backend is likely to warm up
 SPARE = 0.8  # with more of the fleet taken than this there is no better place to move to
+SHORT = 0.85  # of the weight that was ready: with less the fleet is short
+NEEDED = 0.7  # of what is left of the fleet: with less asked for it is not short
+CROWD = 0.75  # of what a backend can carry by the quotas, while the fleet is short
 CROSSING = 0.1  # price of a crossing at which other zones keep 1/e of their share
 
 
@@ -232,6 +242,8 @@
         self.peak = 0.0  # load held when the last trouble of all backends began
         self.window_at = self.cut_at = -(1 << 62)
         self.level_at = 0
+        self.scarce = False  # much of the fleet is out or cold
+        self.supply = self.sharing = 0.0
         self.listed = 0  # most weight that the list has had ready
         self.leave_due = False  # a timer to go on with moves is set
         self.probe_tokens = 0.0
@@ -291,6 +303,9 @@
             if now - self.level_at >= SECOND:
                 self.level_at = now
                 self._leave()
+                if self.changed:
+                    self._reweigh()
+                self._take_stock()
                 self._level()
             if not self.leave_due and any(self._leaving(s) for s in self.serving.values()):
                 self.leave_due = True  # quiet connections bring no event that would do
@@ -325,6 +340,8 @@
         whole = [s.listed for s in self.servers.values() if s.state is BackendState.READY]
         self.listed = max(self.listed, sum(whole))
         self.home = sum(s.zone == zone for s in ready)
+        if not self.settings.tells_delay:
+            self._take_stock()
 
     def _next(self, job: Job) -> Server | None:
         """The next backend down the order, by share, among those not tried and not rationed away.
@@ -341,6 +358,8 @@
         welcome = self._welcome(passed, allowed)
         if welcome is not None:
             return welcome
+        if job.group and self.scarce:
+            return self._gathered(job, passed, allowed, fresh)
         denied = 0
         for _ in range(HEAD_TRIES):
             server = ready[min(bisect(self.cumulative, rnd() * self.total), len(ready) - 1)]
@@ -359,7 +378,7 @@
             # Among those without a ration, by rejection: if hardly any is left, waiting a moment is as good.
             for _ in range(2 * HEAD_TRIES):
                 server = ready[min(bisect(self.cumulative, rnd() * self.total), len(ready) - 1)]
-                if server not in passed and not self._rationed(server):
+                if server not in passed and not self._rationed(server) and not self._brimful(server):
                     return server
             return None
         left = [s for s in (ready if allowed is None else allowed) if s not in passed]
@@ -367,7 +386,7 @@
             sums = list(accumulate(s.share for s in left))
             server = left.pop(min(bisect(sums, rnd() * sums[-1]), len(left) - 1))
             if denied == DENIALS:
-                if not self._rationed(server):
+                if not self._rationed(server) and not self._brimful(server):
                     return server
             elif self._afford(server, fresh):
                 return server
@@ -375,6 +394,29 @@
                 denied += 1
         return None
 
+    def _gathered(
+        self, job: Job, passed: list[Server], allowed: list[Server] | None, fresh: bool
+    ) -> Server | None:
+        """The next down an order that is the same for all connections of a group, at every relay.
+
+        Guards against paying for every group at every backend where the fleet is short: that may take as much
+        of what is left as the connections do. The weights are the ordinary ones.
+        """
+        order = sorted(self.ready, key=lambda s: math.log(_spot(job.group, s.id)) / s.share, reverse=True)
+        denied = 0
+        for server in order:
+            if server in passed or (allowed is not None and server not in allowed):
+                continue
+            excess = self._excess(server)
+            if excess > 0.0 and self.random() < excess:
+                continue
+            rationed = self._rationed(server)
+            if denied < DENIALS or not rationed:
+                if self._afford(server, fresh):
+                    return server
+                denied += rationed
+        return None
+
     def _welcome(self, passed: list[Server], allowed: list[Server] | None) -> Server | None:
         """A backend that was put back and has been sent nothing since: chance may pass it by for long.
 
@@ -474,10 +516,10 @@
         spends its capacity on set-ups that it must drop never recovers.
         """
         self._calm()
-        if not self._rationed(server):
-            return True
         if self._brimful(server):
             return False
+        if not self._rationed(server):
+            return True
         strikes = self._strikes(server)
         warmth = self._warmth(server) if server.born else 1.0
         rules = self.settings.rules
@@ -495,28 +537,60 @@
         server.tokens = max(0.0, tokens - 1.0)
         return self.random() < tokens
 
+    def _likely(self, server: Server) -> float:
+        """The share of its capacity that a backend likely has by its age.
+
+        The rules go by the slowest that may be; most backends start higher and are warm sooner.
+        """
+        rules = self.settings.rules
+        age = self.now - server.born
+        if age >= rules.warm_up:
+            return 1.0
+        low = min(1.0, LIKELY * rules.cold_share)
+        return min(1.0, low + (1.0 - low) * LIKELY * max(0, age) / rules.warm_up)
+
+    def _groups(self, server: Server) -> int:
+        """How many groups have connections of this relay there."""
+        return len({self.jobs[n].group for n in server.open} - {0}) if self.settings.groups else 0
+
+    def _take_stock(self) -> None:
+        """Reckon what the backends that are left can likely carry, as connections, and what groups take."""
+        left = sum(s.listed * self._likely(s) for s in self.ready)
+        self.scarce = left < SHORT * self.listed
+        self.supply = self.capacity * left / max(1, self.listed)
+        self.sharing = GROUP_COST * sum(map(self._groups, self.serving.values()))
+
+    def _short(self) -> bool:
+        """Whether much of the fleet is out or cold, and what is left must carry most it can.
+
+        Guards against filling all that is left so far that no client there is served in time.
+        """
+        need = self.settings.relays * (self.connections + len(self.held)) + self.sharing
+        return self.scarce and need > NEEDED * self.supply > 0.0
+
     def _brimful(self, server: Server) -> bool:
-        """Whether a cold backend holds all that it can likely carry so far; where slow messages are not told.
+        """Whether a backend that is cold, or one of a short fleet, holds all that it can likely carry now.
+
+        It goes by what is known without being told: where slow messages are told, they decide.
 
         Guards against a crowd that is moved off one backend onto others that have just started: there none is
         served in time until they are warm. Those that wait or come again cost the backends nothing.
         """
         rules = self.settings.rules
         age = self.now - server.born
-        if self.settings.tells_delay or not self.connections or not self.listed or age >= rules.warm_up:
+        if self.settings.tells_delay or not self.connections or not self.listed:
+            return False
+        if age >= rules.warm_up and not self._short():
             return False
         mean = self.load / self.connections
-        groups = {self.jobs[n].group for n in server.open} - {0} if self.settings.groups else ()
         if server.lot < 0.0:
             # Whole connections of many relays may be far more than there is room for, or none at all: each
             # draws once where it rounds, and together they come out right.
             server.lot = self.random()
-        held = self.settings.relays * (server.load / max(mean, 1e-9) + server.lot)
-        held += GROUP_COST * len(groups)
-        # The rules go by the slowest that may be; most backends start higher and are warm sooner.
-        low = min(1.0, LIKELY * rules.cold_share)
-        warmth = min(1.0, low + (1.0 - low) * LIKELY * max(0, age) / rules.warm_up)
-        return held > warmth * self.capacity * server.listed / self.listed > 0.0
+        held: float = self.settings.relays * (server.load / max(mean, 1e-9) + server.lot)
+        held += GROUP_COST * self._groups(server)
+        limit = CROWD if age >= rules.warm_up else self._likely(server)
+        return held > limit * self.capacity * server.listed / self.listed > 0.0
 
     def _calm(self) -> float:
         """The share of the fleet, by weight, without a strike; looked up less often the more there is."""
@@ -891,14 +965,17 @@
         usable = self.capacity * sum(s.listed for s in self.ready) / max(1, listed)
         if self._jammed():
             return  # set-ups fail: who leaves now may not get in again
-        if self.load <= 0.0 or not 0.0 < relays * self.connections < SPARE * usable or not listed:
+        if self.load <= 0.0 or not listed:
+            return
+        # Where the fleet is short those who leave may find no room; they are waited for outside, and the rest
+        # is served in time.
+        if not self._short() and not 0.0 < relays * self.connections < SPARE * usable:
             return
         mean = self.load / self.connections
         for server in list(self.serving.values()):
-            groups = {self.jobs[n].group for n in server.open} - {0} if self.settings.groups else ()
             # By chance a relay holds more here than the others do: only what is beyond that counts.
             sure = server.load - LEVEL_DOUBT * math.sqrt(sum(self.jobs[n].load ** 2 for n in server.open))
-            held = relays * sure / mean + GROUP_COST * len(groups)
+            held = relays * sure / mean + GROUP_COST * self._groups(server)
             if len(server.open) > 1 and held > self.capacity * server.listed / listed:
                 self._thin(server, LEVEL_SHARE)
 
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import heapq
 import json
 import math
@@ -145,6 +146,25 @@
     addresses: dict[str, str]
 
 
+def numbered(name: str, numbers: dict[str, int]) -> int:
+    """The module's number for a server: from its name, so that all proxies and the next process agree.
+
+    Where two names meet, the one heard of later has the next.
+    """
+    if name not in numbers:
+        found = (
+            int.from_bytes(
+                hashlib.blake2b(name.encode("utf-8", "surrogatepass"), digest_size=4).digest(), "big"
+            )
+            or 1
+        )
+        taken = set(numbers.values())
+        while found in taken:
+            found += 1
+        numbers[name] = found
+    return numbers[name]
+
+
 def read_listing(doc: Any, config: Config, numbers: dict[str, int], cached: bool = False) -> Listing:
     """Decode a list in the directory's form; raises ConfigError where it is not in that form."""
     try:
@@ -162,7 +182,7 @@
                 addresses[name] = row["hostPort"]
             rows.append(
                 api.Backend(
-                    backend=numbers.setdefault(name, len(numbers) + 1),
+                    backend=numbered(name, numbers),
                     zone=config.zones.get(str(row.get("zone")), len(config.zones)),
                     weight=_number(row, "weight", 1.0),
                     kind=config.kinds.get(str(row.get("machineType")), len(config.kinds)),
@@ -473,7 +493,7 @@
 
     def know(self, server: str) -> None:
         """Give a server a number before any list has named it."""
-        self.numbers.setdefault(server, len(self.numbers) + 1)
+        numbered(server, self.numbers)
 
     @property
     def cordoned(self) -> list[str]:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
+from typing import Any
 
 import pytest
 from helpers import SECOND, START, Clock, ask, backends, ended, finals, full, relay, sends, settings
@@ -387,3 +389,69 @@
     left = {m.request for _ in range(3) for m in moves(clock.step(api.Timer(0), after=SECOND))}
     assert bool(left) is leave
     assert all(n <= 20 or n % 5 == 0 for n in left) and len(left) < 15
+
+
+# --- a short fleet: much of it out, and no word of slow messages -------------------------------------------
+
+QUOTA = (api.Tenant(share=1.0, connections=82.0),)  # the fleet carries a hundred connections
+
+
+def short_fleet(seed: int, out: int, groups: int = 0, **fields: Any) -> Clock:
+    """A relay with 40 connections on ten servers of ten each, of which ``out`` have gone since."""
+    clock = Clock(relay(backends(10), seed=seed, tenants=QUOTA, tells_delay=False, groups=bool(groups)))
+    placed = sends(
+        clock.step(*(ask(n, load=1.0, group=n % groups + 1 if groups else 0, **fields) for n in range(1, 41)))
+    )
+    clock.step(*(api.Established(s.request, 0, s.backend, 1000) for s in placed))
+    gone = [replace(b, state=api.BackendState.GONE) for b in backends(10)[:out]]
+    clock.step(api.BackendList(api.ListKind.CHANGES, 2, tuple(gone)))
+    lost = [s for s in placed if s.backend < 100 + out]
+    clock.step(*(ended(s, api.Outcome.RESET) for s in lost))
+    clock.step(after=SECOND)
+    return clock
+
+
+def on(clock: Clock) -> dict[int, int]:
+    """Connections and attempts by server that is left."""
+    return {s.id: s.held for s in clock.balancer.servers.values() if s.state is api.BackendState.READY}
+
+
+@pytest.mark.parametrize(("out", "most"), [(7, 8), (0, 99)])
+def test_servers_of_a_short_fleet_are_not_filled_past_what_they_carry(out: int, most: int) -> None:
+    clock = short_fleet(1, out)
+    asked = [ask(100 + n, load=1.0) for n in range(80)]
+    before = sum(on(clock).values())
+    actions = clock.step(*asked)
+    assert max(on(clock).values()) <= most
+    # The rest waits for room, and is refused with a time to come back when it cannot wait any longer.
+    waiting = 80 - (sum(on(clock).values()) - before)
+    assert (waiting > 0) == (out == 7) and not finals(actions)
+    refused = 0
+    while clock.timers and refused < waiting:
+        refused += len(finals(clock.wait(3 * SECOND)))
+    assert refused == waiting
+
+
+def test_a_full_fleet_draws_afresh_and_a_short_one_keeps_groups_together() -> None:
+    met: dict[int, list[set[int]]] = {}
+    for out in (0, 7):
+        met[out] = [set() for _ in range(4)]
+        for seed in range(8):  # of the first choices of eight relays
+            clock = short_fleet(seed, out, groups=4)
+            for s in sends(clock.step(*(ask(100 + n, load=0.1, group=n + 1) for n in range(4)))):
+                met[out][s.request - 100].add(s.backend)
+    assert sum(map(len, met[0])) > 4 * 4
+    assert sum(map(len, met[7])) < 2 * 4
+
+
+def test_an_overfull_server_of_a_short_fleet_is_thinned_though_none_has_room() -> None:
+    clock = short_fleet(1, 7)
+    clock.step(*(ask(100 + n, load=1.0) for n in range(80)))
+    standing = {n: job.server.id for n, job in clock.balancer.jobs.items() if job.server}
+    clock.step(*(api.Established(n, 0, server, 1000) for n, server in standing.items()))
+    assert len(standing) > 0.8 * 30 * 0.75
+    # What those on one of them ask grows.
+    grown = {n for n, server in standing.items() if server == standing[max(standing)]}
+    clock.step(*(api.LoadNote(n, 0, standing[n], 5.0) for n in grown))
+    moved = {a.request for a in clock.step(after=SECOND) if isinstance(a, api.Move)}
+    assert moved and moved <= grown
