Count a server and the one in its place once in the fleet's whole weight

In a release the new process is ready before the old one drains, and _reweigh kept that sum (431 for 362) as the most the list ever had. Now a larger weight counts once it has stood for 6 s, and a fleet that has been short for ten minutes is a smaller one (else a scale-down would last as a shortage).

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -193,6 +193,8 @@
 LEVEL_DOUBT = 1.0  # standard deviations
 LIKELY = 1.5  # how much better than the slowest allowed a backend is likely to warm up
 SPARE = 0.8  # with more of the fleet taken than this there is no better place to move to
+OVERLAP = 6 * SECOND  # for so long a server and the one in its place may both be ready
+SMALLER = 600 * SECOND  # a fleet that has been short for so long is a smaller fleet
 SHORT = 0.85  # of the weight that was ready: with less the fleet is short
 NEEDED = 0.7  # of what is left of the fleet: with less asked for it is not short
 CROWD = 0.75  # of what a backend can carry by the quotas, while the fleet is short
@@ -244,7 +246,9 @@
         self.level_at = 0
         self.scarce = False  # much of the fleet is out or cold
         self.supply = self.sharing = 0.0
-        self.listed = 0  # most weight that the list has had ready
+        self.listed = 0  # most weight that the list has had ready for long
+        self.whole_at = 0
+        self.grown = self.grown_at = 0  # since when it has had more, and how much at least
         self.leave_due = False  # a timer to go on with moves is set
         self.probe_tokens = 0.0
         self.probing: dict[int, Job] = {}  # requests that wait for probes
@@ -335,10 +339,6 @@
         self.ready = ready
         self.cumulative = list(accumulate(s.share for s in ready))
         self.total = self.cumulative[-1] if ready else 0
-        # What the quotas speak of is the whole fleet. Guards against backends that seem to grow when another
-        # is taken out: then each has more to carry, and can carry no more than before.
-        whole = [s.listed for s in self.servers.values() if s.state is BackendState.READY]
-        self.listed = max(self.listed, sum(whole))
         self.home = sum(s.zone == zone for s in ready)
         if not self.settings.tells_delay:
             self._take_stock()
@@ -554,7 +554,22 @@
         return len({self.jobs[n].group for n in server.open} - {0}) if self.settings.groups else 0
 
     def _take_stock(self) -> None:
-        """Reckon what the backends that are left can likely carry, as connections, and what groups take."""
+        """Reckon what the backends that are left can likely carry, as connections, and what groups take.
+
+        What the quotas speak of is the whole fleet. Guards against backends that seem to grow when another
+        is taken out: then each has more to carry, and can carry no more than before. But a release has both
+        the old process and the new one ready for a while, and that is not a larger fleet.
+        """
+        whole = sum(s.listed for s in self.servers.values() if s.state is BackendState.READY)
+        if whole <= self.listed:
+            self.grown, self.grown_at = whole, self.now
+        self.grown = min(self.grown, whole) if self.grown > self.listed else whole
+        if not self.listed or self.now - self.grown_at >= OVERLAP:
+            self.listed, self.grown_at = max(self.listed, self.grown), self.now
+        if whole >= SHORT * self.listed:
+            self.whole_at = self.now
+        elif self.now - self.whole_at >= SMALLER:
+            self.listed = whole  # not in trouble: there are fewer of them now
         left = sum(s.listed * self._likely(s) for s in self.ready)
         self.scarce = left < SHORT * self.listed
         self.supply = self.capacity * left / max(1, self.listed)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -455,3 +455,28 @@
     clock.step(*(api.LoadNote(n, 0, standing[n], 5.0) for n in grown))
     moved = {a.request for a in clock.step(after=SECOND) if isinstance(a, api.Move)}
     assert moved and moved <= grown
+
+
+def test_a_server_and_the_one_in_its_place_make_no_larger_fleet() -> None:
+    clock = Clock(relay(backends(4), tenants=QUOTA, tells_delay=False))
+    new = replace(backends(5)[4], started=START)
+    clock.step(api.BackendList(api.ListKind.CHANGES, 2, (new,)))
+    for _ in range(4):
+        clock.step(after=SECOND)
+    gone = replace(backends(1)[0], state=api.BackendState.GONE)
+    clock.step(api.BackendList(api.ListKind.CHANGES, 3, (gone,)))
+    for _ in range(20):
+        clock.step(after=SECOND)
+    assert clock.balancer.listed == 4000 and not clock.balancer.scarce
+    more = replace(backends(6)[5], started=START)
+    clock.step(api.BackendList(api.ListKind.CHANGES, 4, (more,)))
+    for _ in range(8):
+        clock.step(after=SECOND)
+    assert clock.balancer.listed == 5000
+
+
+def test_a_fleet_that_stays_small_is_not_short_for_ever() -> None:
+    clock = short_fleet(1, 7)
+    assert clock.balancer.scarce
+    clock.step(after=700 * SECOND)
+    assert not clock.balancer.scarce and clock.balancer.listed == 3000
