Servers from watched files: operator file, roster, a child that reads and checks

Need: scripts rewrite lists of servers; the directory was the only source, unchecked, and nothing outlived the process.

--- a/arrowseam/cli/__init__.py
+++ b/arrowseam/cli/__init__.py
@@ -9,15 +9,19 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import click
 
 from arrowseam import __version__
 from arrowseam.config.proxy import Config, ConfigError
-from arrowseam.logs import log
+from arrowseam.logs import log, use
 from arrowseam.net import nats, upgrade
 from arrowseam.net.loop import Loop
-from arrowseam.proxy import Proxy, read
+from arrowseam.proxy import Proxy, read_first, read_second
+
+if TYPE_CHECKING:
+    from arrowseam.config.operator import Operator
 
 config_option = click.option(
     "--config", "path", envvar="EDGE_CONFIG", required=True, help="The configuration, JSON."
@@ -25,12 +29,22 @@
 nats_option = click.option(
     "--nats", "nats_path", help="Serve the NATS client protocol too, as this file says."
 )
+operator_option = click.option(
+    "--operator", "operator_path", help="The operator file: servers from files, NATS, the log's form."
+)
 
 
-def load(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
+def load(
+    path: str, nats_path: str | None, operator_path: str | None
+) -> tuple[Config, nats.NatsConfig | None, Operator | None]:
     """What the files say, or one plain line and exit status 1."""
     try:
-        return read(path, nats_path)
+        config, operator = read_first(path, operator_path is not None), None
+        if operator_path is not None:
+            from arrowseam.offload.script import evaluate
+
+            operator = evaluate(operator_path, config)
+        return config, read_second(config, nats_path, operator), operator
     except (OSError, ConfigError) as error:
         print(f"arrowseam: {error}", file=sys.stderr)
         sys.exit(1)
@@ -45,20 +59,23 @@
 @config_option
 @click.option("--trace", is_flag=True, help="Log every call and every end.")
 @nats_option
-def serve(path: str, trace: bool, nats_path: str | None) -> None:
+@operator_option
+def serve(path: str, trace: bool, nats_path: str | None, operator_path: str | None) -> None:
     """Run one proxy until SIGTERM; SIGHUP has it read its files again."""
-    config, second = load(path, nats_path)
+    config, second, operator = load(path, nats_path, operator_path)
+    if operator is not None:
+        use(operator.log.format, operator.log.level)
     loop = Loop(config.sockets)
     station = upgrade.Station.here(config.name, config.listen)
     try:
-        proxy = Proxy(loop, config, second, station, upgrade.ask(station))
+        proxy = Proxy(loop, config, second, station, upgrade.ask(station), operator)
     except OSError as error:
         print(f"arrowseam: cannot listen: {error}", file=sys.stderr)
         sys.exit(1)
     proxy.relay.trace = trace
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.on_signal(number, proxy.relay.drain)
-    loop.on_signal(signal.SIGHUP, lambda: proxy.reload(path, nats_path))
+    loop.on_signal(signal.SIGHUP, lambda: proxy.reload(path, nats_path, operator_path))
     name = config.name or os.getpid()
     log("process.started", f"arrowseam {__version__}: {name} listens on {config.listen}")
     loop.run()
@@ -67,10 +84,13 @@
 @main.command("check-config")
 @config_option
 @nats_option
-def check_config(path: str, nats_path: str | None) -> None:
+@operator_option
+def check_config(path: str, nats_path: str | None, operator_path: str | None) -> None:
     """Read the configuration and say what it holds."""
-    config, second = load(path, nats_path)
-    if second is not None:
+    config, second, operator = load(path, nats_path, operator_path)
+    if operator is not None:
+        click.echo(f"{operator_path}: good; {len(operator.servers)} files of servers")
+    if second is not None and nats_path is not None:
         click.echo(f"{nats_path}: good; {len(second.users)} users, {len(second.names)} names")
     click.echo(
         f"{path}: good; {len(config.settings.classes)} classes, {len(config.zones)} zones, "
@@ -82,3 +102,56 @@
 def version() -> None:
     """Print the version."""
     click.echo(f"arrowseam {__version__}")
+
+
+@main.group("config")
+def config_group() -> None:
+    """The operator file: what it sets up, and what it may say."""
+
+
+@config_group.command("show")
+@config_option
+@nats_option
+@operator_option
+def config_show(path: str, nats_path: str | None, operator_path: str | None) -> None:
+    """Print the settings in effect, as JSON."""
+    from arrowseam.cli import operators
+
+    operators.show(*load(path, nats_path, operator_path))
+
+
+@config_group.command("schema")
+@click.option("--json", "as_json", is_flag=True, help="As a JSON schema.")
+def config_schema(as_json: bool) -> None:
+    """Print the functions of the operator file and their fields."""
+    from arrowseam.cli import operators
+
+    operators.schema(as_json)
+
+
+@main.group("servers")
+def servers_group() -> None:
+    """Files of servers."""
+
+
+@servers_group.command("check")
+@click.argument("file")
+@click.option("--against", help="The list in force, to say what would change.")
+@click.option("--max-removed", default=0.5, show_default=True, type=click.FloatRange(0, 1))
+@click.option("--max-bytes", default=16 << 20, show_default=True, type=click.IntRange(1))
+def servers_check(file: str, against: str | None, max_removed: float, max_bytes: int) -> None:
+    """Say whether FILE would be taken, and what it would change. Exit status 1 if it would be refused."""
+    from arrowseam.cli import operators
+
+    sys.exit(operators.check(file, against, max_removed, max_bytes))
+
+
+@main.command("members")
+@click.option("--control", "address", envvar="EDGE_CONTROL", required=True, help="HOST:PORT of control.")
+@click.option("--sources", is_flag=True, help="The sources in place of the servers.")
+@click.option("--json", "as_json", is_flag=True, help="As control says it, a JSON object a line.")
+def members(address: str, sources: bool, as_json: bool) -> None:
+    """Print the servers that a running proxy has, and where it has them from."""
+    from arrowseam.cli import operators
+
+    sys.exit(operators.members(address, sources, as_json))
--- /dev/null
+++ b/arrowseam/cli/operators.py
@@ -0,0 +1,199 @@
+"""What the commands for operators print: the operator file, files of servers, the servers of a running proxy.
+
+It owns the tables. It must never decide whether a list is good; it asks what the proxy asks.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+from typing import Any
+
+import click
+import msgspec
+from tabulate import tabulate
+
+from arrowseam.config import operator as settings
+from arrowseam.config.proxy import Config
+from arrowseam.members import check as rules
+from arrowseam.members.listing import Member
+from arrowseam.members.reader import read
+from arrowseam.members.shares import shares, shifted
+from arrowseam.net.address import Address, parse_address
+from arrowseam.net.nats import NatsConfig
+
+MOST = 20  # rows of a table before the rest is counted
+ANSWER_WITHIN = 5.0  # seconds
+
+
+def show(config: Config, second: NatsConfig | None, found: settings.Operator | None) -> None:
+    doc: dict[str, Any] = {
+        "name": config.name,
+        "listen": config.listen,
+        "control": config.control,
+        "discovery": config.directory,
+        "limits": {"sockets": config.sockets},
+        "classes": {
+            name: {"aim_us": rule.aim, "deadline_us": rule.deadline, "worth": rule.worth}
+            for name, rule in zip(config.classes, config.settings.classes)
+        },
+        "operator": None,
+        "nats": None,
+    }
+    if found is not None:
+        doc["operator"] = {
+            "servers": [{key: getattr(s, key) for key in s.__struct_fields__} for s in found.servers],
+            "log": {"format": found.log.format, "level": found.log.level},
+            "state_dir": found.state_dir,
+        }
+    if second is not None:
+        doc["nats"] = {
+            "listen": _at(second.listen),
+            "server_port": second.server_port,
+            "users": sorted(second.users),
+            "names": sorted(second.names),
+            "default": second.default is not None,
+            "max_payload": second.max_payload,
+            "health": second.health and _at(second.health),
+            "agent": second.agent and _at(second.agent),
+        }
+    click.echo(json.dumps(doc, indent=2))
+
+
+def _at(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def schema(as_json: bool) -> None:
+    if as_json:
+        _, parts = msgspec.json.schema_components(list(settings.FUNCTIONS.values()))
+        click.echo(json.dumps(parts, indent=2))
+        return
+    for name, what, rows in settings.schema():
+        click.echo(f"{name}(...): {what}\n")
+        click.echo(tabulate(rows, headers=("field", "type", "default"), disable_numparse=True) + "\n")
+
+
+def _load(file: str, max_bytes: int) -> rules.Checked:
+    data, _ = read(file, max_bytes)
+    return rules.parse(data)
+
+
+def check(file: str, against: str | None, max_removed: float, max_bytes: int) -> int:
+    """Whether a file would be taken after another; the exit status."""
+    try:
+        held = _load(against, max_bytes) if against else rules.Checked(None, {})
+    except rules.Refusal as error:
+        click.echo(f"{against}: refused ({error.reason}): {error}", err=True)
+        return 1
+    status, allow = 0, ""
+    try:
+        new = _load(file, max_bytes)
+        try:
+            delta = rules.compare(new, held.members, held.generation, max_removed)
+        except rules.Refusal as error:
+            click.echo(f"{file}: refused ({error.reason}): {error}", err=True)
+            delta = rules.compare(new, held.members, held.generation, max_removed, allow=True)
+            status, allow = 1, "; `allow SOURCE` at control lets it through once"
+    except rules.Refusal as error:
+        click.echo(f"{file}: refused ({error.reason}): {error}", err=True)
+        return 1
+    if not against:
+        click.echo(f"{file}: good; {len(new.members)} servers, generation {new.generation}")
+        _shares(new.members)
+        return status
+    if not delta:
+        click.echo(f"{file}: good; it changes nothing")
+        return status
+    moved = shifted(held.members, new.members)
+    word = "would be refused" if status else "good"
+    click.echo(
+        f"{file}: {word}; {len(delta.added)} added, {len(delta.removed)} removed, "
+        f"{len(delta.changed)} changed; {moved:.1%} of the traffic shifts{allow}"
+    )
+    before, after = shares(held.members), shares(new.members)
+    rows = []
+    for name in [*delta.removed, *(m.name for m in delta.added), *(m.name for m in delta.changed)]:
+        was, now = held.members.get(name), new.members.get(name)
+        what = "removed" if now is None else "added" if was is None else _changes(was, now)
+        rows.append((name, what, f"{before.get(name, 0):.2%}", f"{after.get(name, 0):.2%}"))
+    _table(rows, ("server", "change", "share before", "after"))
+    return status
+
+
+def _changes(was: Member, now: Member) -> str:
+    return ", ".join(
+        f"{key} {getattr(was, key)} -> {getattr(now, key)}"
+        for key in Member._fields
+        if getattr(was, key) != getattr(now, key)
+    )
+
+
+def _shares(members: dict[str, Member]) -> None:
+    part = shares(members)
+    rows = [
+        (m.name, m.address, m.zone, m.state, m.weight, f"{part.get(m.name, 0):.2%}") for m in members.values()
+    ]
+    _table(rows, ("server", "address", "zone", "state", "weight", "share"))
+
+
+def _table(rows: list[Any], headers: tuple[str, ...], most: int = MOST) -> None:
+    click.echo(tabulate(rows[:most], headers=headers, disable_numparse=True))
+    if len(rows) > most:
+        click.echo(f"and {len(rows) - most} more")
+
+
+def _call(address: str, words: str) -> list[dict[str, Any]]:
+    """What control says, a JSON object a line; raises OSError or ValueError."""
+    with socket.create_connection(parse_address(address), ANSWER_WITHIN) as sock:
+        sock.sendall(words.encode() + b"\r\n")
+        data = b""
+        while part := sock.recv(1 << 16):
+            data += part
+    if not data.endswith(b"--\n"):
+        said = data.decode("ascii", "replace").strip() or "nothing"
+        raise ValueError(f"control says {said}; is there an operator file?")
+    return [json.loads(line) for line in data.splitlines()[:-1]]
+
+
+def members(address: str, sources: bool, as_json: bool) -> int:
+    """Ask a running proxy; the exit status."""
+    try:
+        rows = _call(address, "sources" if sources else "members")
+    except (OSError, ValueError) as error:
+        print(f"arrowseam: {address}: {error}", file=sys.stderr)
+        return 1
+    if as_json:
+        for row in rows:
+            click.echo(json.dumps(row))
+        return 0
+    if sources:
+        keys = (
+            "source",
+            "rank",
+            "servers",
+            "generation",
+            "origin",
+            "age_ms",
+            "taken",
+            "last_refused",
+            "file",
+        )
+        table = [[row[key] for key in keys] for row in rows]
+        _table(table, keys, most=len(table))
+        return 0
+    table = [
+        [
+            row["instanceId"],
+            row["hostPort"],
+            row["zone"],
+            row["state"],
+            row["weight"],
+            f"{row['since_ms'] / 1000:.0f} s",
+            ", ".join(row["sources"]),
+        ]
+        for row in rows
+    ]
+    _table(table, ("server", "address", "zone", "state", "weight", "for", "sources"), most=len(table))
+    return 0
--- a/arrowseam/net/control.py
+++ b/arrowseam/net/control.py
@@ -7,11 +7,17 @@
     counters          the figures, a line each, then a line ``--``
     cordon ID         nothing more goes to server ID; ACK, or NAK where no list has named it
     uncordon ID       server ID may serve again
+    members           with an operator file: each server, a JSON object a line, then a line ``--``
+    sources           the same of each source of servers
+    allow SOURCE      the next version of that file may drop more than ``max_removed``, once
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import json
+from collections.abc import Callable, Iterator
+from itertools import islice
+from typing import Any, Protocol
 
 from arrowseam.facade import Facade
 from arrowseam.logs import log
@@ -25,7 +31,19 @@
 HEAR_WITHIN = SECOND
 
 
-def render(relay: Relay) -> bytes:
+SLICE = 250  # servers shown in one round of the loop
+
+
+class Sources(Protocol):
+    """What control asks of the sources of servers."""
+
+    def counters(self) -> Iterator[str]: ...
+    def show_members(self) -> Iterator[dict[str, Any]]: ...
+    def show_sources(self) -> Iterator[dict[str, Any]]: ...
+    def allow(self, name: str) -> bool: ...
+
+
+def render(relay: Relay, sources: Sources | None = None) -> bytes:
     """The figures as statsd writes them."""
     figures, facade = relay.figures, relay.facade
     # Classes of now and those that have been, each with all three from the start.
@@ -43,12 +61,15 @@
         f"edge.reload_success:{figures.reload_success}|c",
         f"edge.reload_failure:{figures.reload_failure}|c",
     ]
+    if sources is not None:
+        lines += sources.counters()
     return "".join(f"{line}\n" for line in [*lines, "--"]).encode()
 
 
 class Control:
     def __init__(self, loop: Loop, relay: Relay) -> None:
         self.loop, self.relay = loop, relay
+        self.sources: Sources | None = None
         self.waiting: dict[Conn, None] = {}  # callers that have not said a whole line, oldest first
         self.ready: Callable[[], bool] = lambda: True  # whether the process before us has let go
         # What a cordon must reach besides the module; told the server and whether it is out.
@@ -76,11 +97,25 @@
             self.waiting.pop(conn, None)
         if call is None:
             return  # half a call is none: an id that was cut may be another server's
+        if call.split() == [b"members"] and self.sources is not None:
+            yield from self._members(conn, self.sources)
+            return
         answer = self.answer(call)
         due = clock() + HEAR_WITHIN
         yield from conn.send(answer, due)
         yield from conn.part(due)
 
+    def _members(self, conn: Conn, sources: Sources) -> Steps[None]:
+        """Some servers a round: there may be 10,000."""
+        shown, due = sources.show_members(), clock() + HEAR_WITHIN
+        while part := list(islice(shown, SLICE)):
+            due = clock() + HEAR_WITHIN
+            if not (yield from conn.send(b"".join(map(_line, part)), due)):
+                return
+            yield from self.loop.rest()
+        yield from conn.send(b"--\n", due)
+        yield from conn.part(due)
+
     def _call(self, conn: Conn) -> Steps[bytes | None]:
         line = yield from conn.line(CALL_MAX, clock() + SAY_WITHIN)
         if line is None:
@@ -93,7 +128,14 @@
             case ["health"]:
                 return b"ACK\n" if self.serving else b"NAK not serving\n"
             case ["counters"]:
-                return render(self.relay)
+                return render(self.relay, self.sources)
+            case ["sources"] if self.sources is not None:
+                return b"".join(map(_line, self.sources.show_sources())) + b"--\n"
+            case ["allow", source] if self.sources is not None:
+                if not self.sources.allow(source):
+                    return b"NAK unknown source\n"
+                log("control.allow", f"control: allow {source}", source=source)
+                return b"ACK\n"
             case ["cordon" | "uncordon" as what, server]:
                 if not self.facade.cordon(server, what == "cordon"):
                     return b"NAK unknown server\n"
@@ -101,3 +143,7 @@
                 self.told(server, what == "cordon")
                 return b"ACK\n"
         return b"NAK unknown call\n"
+
+
+def _line(doc: dict[str, Any]) -> bytes:
+    return json.dumps(doc, separators=(",", ":")).encode() + b"\n"
--- a/arrowseam/net/directory.py
+++ b/arrowseam/net/directory.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -14,8 +15,9 @@
 from arrowseam.config.proxy import Config, ConfigError
 from arrowseam.facade import Facade
 from arrowseam.logs import log
-from arrowseam.members.listing import Listing, read_listing
-from arrowseam.net.loop import MS, SECOND, Address, Conn, Loop, Steps, Task, clock, parse_address
+from arrowseam.members.listing import Member, listing, read_members
+from arrowseam.net.address import Address, parse_address
+from arrowseam.net.loop import MS, SECOND, Conn, Loop, Steps, Task, clock
 
 # What a wait would have brought counts as told 2 s after its end: waits are short, so that a call that went
 # astray is noticed early, but not so short that empty answers load a service which all proxies share.
@@ -30,8 +32,17 @@
 
 
 class Directory:
-    def __init__(self, loop: Loop, config: Config, facade: Facade) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        config: Config,
+        facade: Facade,
+        deliver: Callable[[str, int, list[Member]], None] | None = None,
+    ) -> None:
+        """``deliver`` takes each list (kind, generation, rows) in place of the facade, where there are other
+        sources."""
         self.loop, self.config, self.facade = loop, config, facade
+        self.deliver = deliver or self._to_facade
         self.address = config.directory
         self.version = 0
         self.rows: dict[str, Any] = {}  # the list held, in the directory's own form
@@ -49,6 +60,8 @@
 
     def ask(self, whole: bool) -> None:
         """Begin to watch, or with ``whole`` ask for the whole list first; answers go to the facade."""
+        if not self.address:
+            return  # there is none: the servers come from files
         self.asked, self.whole = True, self.whole or whole
         if self.task is None:
             self.task = self.loop.spawn(self._run(parse_address(self.address)), "directory")
@@ -71,18 +84,23 @@
             self.task.gen.close()
             self.task = None
         self._hang_up()
+        if not address:
+            self.rows.clear()
         self.ask(whole=True)
 
     def _take(self, doc: Any, cached: bool = False) -> None:
-        listing: Listing = read_listing(doc, self.config, self.facade.numbers, cached)
-        self.version = listing.version
-        if listing.kind != "changes":
+        reset, self.version, members = read_members(doc)
+        kind = "cached" if cached else "full" if reset else "changes"
+        if kind != "changes":
             self.rows.clear()
         for row in doc["instances"]:
             self.rows[row["instanceId"]] = row
             if row["lifecycle"] == "Gone":
                 del self.rows[row["instanceId"]]
-        self.facade.listing(listing)
+        self.deliver(kind, self.version, members)
+
+    def _to_facade(self, kind: str, version: int, members: list[Member]) -> None:
+        self.facade.listing(listing(kind, version, members, self.config, self.facade.numbers))
 
     def _run(self, address: Address) -> Steps[None]:
         while True:
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -15,7 +15,8 @@
 from arrowseam.config.proxy import Config
 from arrowseam.facade import Facade, Invocation
 from arrowseam.logs import log
-from arrowseam.net.loop import MS, SECOND, Address, Buffer, Conn, Framer, Loop, Passage, Steps, clock
+from arrowseam.net.address import Address
+from arrowseam.net.loop import MS, SECOND, Buffer, Conn, Framer, Loop, Passage, Steps, clock
 from arrowseam.relay import REJECT_MS, Consumer, Relay
 
 LINE_MAX = 4096
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -27,8 +27,8 @@
 from typing import Any, TypeAlias, TypeVar
 
 from arrowseam.logs import log
+from arrowseam.net.address import Address
 
-Address: TypeAlias = tuple[str, int]
 T = TypeVar("T")
 Steps: TypeAlias = Generator[int | None, None, T]
 
@@ -52,13 +52,6 @@
     return time.monotonic_ns() // 1000
 
 
-def parse_address(text: str) -> Address:
-    host, colon, port = text.rpartition(":")
-    if not host or not colon or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ValueError(f"not HOST:PORT: {text!r}")
-    return host.strip("[]"), int(port)
-
-
 class Buffer:
     """The bytes read from one connection and not yet passed on: grows as needed, compacted in place."""
 
@@ -469,6 +462,19 @@
             _ = theirs  # kept open as long as this runs
             yield None
 
+    def until(self, condition: Callable[[], bool], due: int) -> None:
+        """Run until the condition holds, or until ``due``; before ``run``, to have things ready for it."""
+        turn = self.turn
+
+        def watched(now: int) -> int:
+            at = turn(now)
+            self.stopped = condition() or now >= due
+            return due if at is None else min(at, due)
+
+        self.turn = watched
+        self.run()
+        self.turn, self.stopped = turn, False
+
     def run(self) -> None:
         due: int | None = clock()  # the first turn comes at once
         while not self.stopped:
--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -18,18 +18,8 @@
 from arrowseam.config.decode import DecodeError, number, table
 from arrowseam.config.proxy import Config, ConfigError
 from arrowseam.facade import Invocation
-from arrowseam.net.loop import (
-    SECOND,
-    Address,
-    Buffer,
-    Conn,
-    Framer,
-    Loop,
-    Passage,
-    Steps,
-    clock,
-    parse_address,
-)
+from arrowseam.net.address import Address, parse_address
+from arrowseam.net.loop import SECOND, Buffer, Conn, Framer, Loop, Passage, Steps, clock
 from arrowseam.relay import REJECT_MS, Consumer, Relay
 
 CONTROL_LINE = 4096  # longest control line, without its end, that a client may send
--- a/arrowseam/net/upgrade.py
+++ b/arrowseam/net/upgrade.py
@@ -25,7 +25,8 @@
 from typing import Any
 
 from arrowseam.logs import log
-from arrowseam.net.loop import MS, SECOND, Address, Conn, Listener, Loop, Steps, clock
+from arrowseam.net.address import Address
+from arrowseam.net.loop import MS, SECOND, Conn, Listener, Loop, Steps, clock
 
 HELLO = b'{"hello":1}\n'
 ANSWER_WITHIN = 2.0  # seconds that a new process waits for the old one's answer at its start
--- /dev/null
+++ b/arrowseam/offload/child.py
@@ -0,0 +1,89 @@
+"""A child process that does blocking work, asked and answering in lines over a socket in the loop's epoll.
+
+It owns the process, its socket and its end. It must never wait for the child in the loop, know what the lines
+mean, or end a process that it did not start.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from arrowseam.net.loop import Conn, Loop, Steps, clock
+
+ROOT = str(Path(__file__).resolve().parents[2])
+LINE_MAX = 1 << 20
+
+
+def words(module: str) -> list[str]:
+    """The command that runs one of our modules."""
+    return [sys.executable, "-m", module]
+
+
+def environment() -> dict[str, str]:
+    """Ours, with the package found from wherever the proxy was started."""
+    path = os.environ.get("PYTHONPATH")
+    return os.environ | {"PYTHONPATH": f"{ROOT}{os.pathsep}{path}" if path else ROOT}
+
+
+class ChildEnded(Exception):
+    """The child has ended, or did not answer in time; it is closed."""
+
+
+class Child:
+    """One process; a coroutine that asks it becomes the owner of its socket."""
+
+    def __init__(self, loop: Loop, module: str, quiet: bool = False) -> None:
+        """``quiet``: what it says on standard error is dropped. Raises OSError."""
+        self.loop = loop
+        ours, theirs = socket.socketpair()
+        try:
+            self.process: subprocess.Popen[bytes] = subprocess.Popen(
+                words(module),
+                stdin=theirs.fileno(),
+                stdout=theirs.fileno(),
+                stderr=subprocess.DEVNULL if quiet else None,
+                env=environment(),
+                cwd=ROOT,
+            )
+        except OSError:
+            ours.close()
+            raise
+        finally:
+            theirs.close()
+        self.conn = Conn(loop, ours, loop.current, LINE_MAX)
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid
+
+    def say(self, line: bytes, due: int) -> Steps[None]:
+        """Write one line, which ends in a newline; raises ChildEnded."""
+        self.conn.owner = self.loop.current
+        if not (yield from self.conn.send(line, due)):
+            self._gone("does not take what it is asked")
+
+    def hear(self, due: int) -> Steps[bytes]:
+        """The next line it says; raises ChildEnded."""
+        self.conn.owner = self.loop.current
+        line = yield from self.conn.line(LINE_MAX, due)
+        if line is None:
+            self._gone("has not answered in time" if clock() >= due else "has ended")
+        assert line is not None
+        return line
+
+    def _gone(self, why: str) -> None:
+        code = self.process.poll()
+        self.close()
+        raise ChildEnded(why if code is None else f"has ended with {code}")
+
+    def close(self) -> None:
+        """End it. It is waited for by the next one started, or by the system at our own end."""
+        self.conn.close()
+        if self.process.poll() is None:
+            with contextlib.suppress(OSError):
+                self.process.kill()
--- a/arrowseam/proxy.py
+++ b/arrowseam/proxy.py
@@ -10,33 +10,31 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from arrowseam.config.proxy import Config, ConfigError, read_config
 from arrowseam.facade import Facade, Invocation
-from arrowseam.logs import log
+from arrowseam.logs import log, use
 from arrowseam.net import control, lines, nats, upgrade
+from arrowseam.net.address import Address, parse_address
 from arrowseam.net.directory import Directory
 from arrowseam.net.health import Health
-from arrowseam.net.loop import (
-    Address,
-    Conn,
-    Listener,
-    Loop,
-    Steps,
-    clock,
-    open_listener,
-    parse_address,
-)
+from arrowseam.net.loop import Conn, Listener, Loop, Steps, Task, clock, open_listener
 from arrowseam.relay import Consumer, Relay
 
+if TYPE_CHECKING:  # imported only where there is an operator file: they cost memory
+    from arrowseam.config.operator import Operator
+    from arrowseam.members.files import Members
 
-def read(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
-    """The configuration, and the NATS front's file where there is one; raises ConfigError or OSError."""
+
+def read_first(path: str, files: bool = False) -> Config:
+    """The configuration; with ``files`` there may be no directory; raises ConfigError or OSError."""
     config = read_config(Path(path).read_bytes())
     if not config.control:
         config = replace(config, control=os.environ.get("EDGE_CONTROL", ""))
-    addresses = [("listen", config.listen), ("discovery", config.directory)]
+    addresses = [("listen", config.listen)]
+    if config.directory or not files:
+        addresses.append(("discovery", config.directory))
     if config.control:
         addresses.append(("control", config.control))
     for what, text in addresses:
@@ -44,13 +42,33 @@
             parse_address(text)
         except ValueError as error:
             raise ConfigError(f"configuration: {what}: {error}") from None
+    return config
+
+
+def read_second(config: Config, nats_path: str | None, operator: Operator | None) -> nats.NatsConfig | None:
+    """What the NATS front is told, by its own file or by the operator file; raises ConfigError or OSError."""
+    if nats_path and operator is not None and operator.nats is not None:
+        raise ConfigError("operator file: nats: --nats says it already")
     second = nats.read_nats_config(Path(nats_path).read_bytes(), config) if nats_path else None
+    if operator is not None:
+        if not config.directory and not operator.servers:
+            raise ConfigError("configuration: discovery is empty and the operator file has no servers(...)")
+        if operator.nats is not None:
+            from arrowseam.config.operator import nats_document
+
+            second = nats.read_nats_config(nats_document(operator.nats), config)
     own = [parse_address(text) for text in (config.listen, config.control) if text]
     own += [a for a in (second.listen, second.health, second.agent) if a] if second is not None else []
     if len(own := [address for address in own if address[1]]) > len(set(own)):
         # the system would not refuse it: each would be given some of the other's connections
         raise ConfigError("configuration: two things listen on one address")
-    return config, second
+    return second
+
+
+def read(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
+    """Both, where there is no operator file."""
+    config = read_first(path)
+    return config, read_second(config, nats_path, None)
 
 
 def take_up(
@@ -81,24 +99,40 @@
         second: nats.NatsConfig | None = None,
         station: upgrade.Station | None = None,
         offer: upgrade.Offer | None = None,
+        operator: Operator | None = None,
     ) -> None:
-        if offer is not None and isinstance(offer.state.get("list"), dict):
+        if config.directory and offer is not None and isinstance(offer.state.get("list"), dict):
             config = replace(config, known=offer.state["list"])
         self.loop, self.config, self.offer = loop, config, offer
         facade = Facade(config, clock)
         self.relay = relay = Relay(loop, config, facade)
-        self.directory = Directory(loop, config, facade)
+        self.members: Members | None = None
+        if operator is not None:
+            from arrowseam.members.files import Members
+
+            state = offer.state.get("members") if offer is not None else None
+            self.members = Members(loop, config, facade, operator, state)
+        self.directory = Directory(loop, config, facade, self.members.directory if self.members else None)
         relay.ask = self.directory.ask
         relay.probe = lambda server: loop.spawn(
             lines.probe(loop, facade, server, relay.address(server)), "probe"
         )
+        if self.members is not None and operator is not None and operator.servers:
+            from arrowseam.members.files import PRIMED_WITHIN
+
+            # Who comes first must not be refused for want of a list that lies there.
+            members = self.members
+            loop.until(lambda: members.primed, clock() + PRIMED_WITHIN)
         self.front = front = lines.LineFront(loop, config, relay)
         relay.listeners.append(self.listen(parse_address(config.listen), "front", front.serve).close)
         self.control: control.Control | None = None
         if config.control:
             self.control = control.Control(loop, relay)
+            self.control.sources = self.members
             loop.kept += control.KEPT
             self.listen(parse_address(config.control), "control", self.control.serve, urgent=True)
+        self.again = False
+        self.reloading: Task | None = None
         self.nats_front: nats.NatsFront | None = None
         if second is not None:
             self.nats_front = nats.NatsFront(loop, config, second, relay)
@@ -156,6 +190,7 @@
             "list": self.directory.held(),
             "cordoned": facade.cordoned,
             "back": facade.back,
+            "members": self.members.export() if self.members is not None else None,
             "ids": sorted(front.names),
         }
         handover.cordon, handover.opened, handover.retire = cordon, front.hear, retire
@@ -178,20 +213,53 @@
         handover.begin(offer)
         self.directory.ask(whole=False)
 
-    def reload(self, path: str, nats_path: str | None = None) -> None:
+    def reload(self, path: str, nats_path: str | None = None, operator_path: str | None = None) -> None:
         """Read the files again and take over what can change while connections stand; log what can't.
 
         All is checked first: a bad file changes nothing, and one that lacks a key the last had is bad.
         Guards against an end of the process on SIGHUP, which is its default.
         """
-        try:
-            config, second = read(path, nats_path)
-            if missing := sorted(self.config.keys - config.keys):
-                raise ConfigError(f"configuration: incomplete, {missing[0].lstrip('.')} is missing")
-        except (OSError, ConfigError) as error:
-            self.relay.figures.reload_failure += 1
-            log("reload.refused", f"reload: {error}; the old settings stay", "error")
+        if operator_path is None:
+            try:
+                config = self._read_again(path)
+                self._take_over(config, read_second(config, nats_path, None), None)
+            except (OSError, ConfigError) as error:
+                self._refuse(error)
             return
+        self.again = True
+        if self.reloading is None:
+            task = self.loop.spawn(self._reload(path, nats_path, operator_path), "reload")
+            self.reloading = task
+
+    def _reload(self, path: str, nats_path: str | None, operator_path: str) -> Steps[None]:
+        """The same with an operator file, which a child evaluates while the loop goes on."""
+        from arrowseam.offload.script import evaluated
+
+        try:
+            while self.again:  # a signal that comes meanwhile is about files that are not read yet
+                self.again = False
+                try:
+                    config = self._read_again(path, files=True)
+                    operator = yield from evaluated(self.loop, operator_path, config)
+                    if not self.again:
+                        self._take_over(config, read_second(config, nats_path, operator), operator)
+                except (OSError, ConfigError) as error:
+                    self._refuse(error)
+        finally:
+            self.reloading = None
+
+    def _read_again(self, path: str, files: bool = False) -> Config:
+        config = read_first(path, files)
+        if missing := sorted(self.config.keys - config.keys):
+            raise ConfigError(f"configuration: incomplete, {missing[0].lstrip('.')} is missing")
+        return config
+
+    def _refuse(self, error: Exception) -> None:
+        self.relay.figures.reload_failure += 1
+        log("reload.refused", f"reload: {error}; the old settings stay", "error")
+
+    def _take_over(self, config: Config, second: nats.NatsConfig | None, operator: Operator | None) -> None:
+        """All of it is good."""
         self.relay.figures.reload_success += 1
         stay = ("name", "listen", "control")
         kept = [key for key in stay if getattr(config, key) != getattr(self.config, key)]
@@ -209,6 +277,12 @@
         self.relay.facade.retune(config)
         if renumbered:
             self.directory.ask(whole=True)
+        if self.members is not None and operator is not None:
+            self.members.config = config
+            if renumbered:
+                self.members.renumber()
+            self.members.configure(operator)
+            use(operator.log.format, operator.log.level)
         self.loop.limit(config.sockets)
         self.directory.move(config.directory)
         log(
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -16,7 +16,8 @@
 from arrowseam.config.proxy import Config
 from arrowseam.facade import Call, Facade, Invocation, Left, Rejection
 from arrowseam.logs import log
-from arrowseam.net.loop import MS, SECOND, Address, Conn, Loop, Passage, Steps, clock, parse_address
+from arrowseam.net.address import Address, parse_address
+from arrowseam.net.loop import MS, SECOND, Conn, Loop, Passage, Steps, clock
 
 # A server that brings nothing back for so long though it was asked is taken for lost: sound ones answer
 # within a millisecond, and a consumer that stays there is served nothing.
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -21,7 +21,8 @@
 from arrowseam.config.proxy import ConfigError, read_config
 from arrowseam.members.listing import Numbers, numbered, read_listing
 from arrowseam.net import lines, nats
-from arrowseam.net.loop import MS, SECOND, Buffer, Conn, Steps, clock, parse_address
+from arrowseam.net.address import parse_address
+from arrowseam.net.loop import MS, SECOND, Buffer, Conn, Steps, clock
 from arrowseam.proxy import read
 
 
