Let a removed server be gone only once it is empty; test rules and operator file

Need: the tests found two faults. A server taken out with a short drain was told gone while clients still stood there, and nobody moved them any more (the module moves off servers that drain, not off those that are gone). Change: gone only when empty; the new owner of an address is looked at again; refusals are logged once a second each.

--- a/arrowseam/config/operator.py
+++ b/arrowseam/config/operator.py
@@ -36,9 +36,9 @@
         0.5  # share of the ready weight one version may drop
     )
     max_bytes: Annotated[int, Meta(ge=1, le=256 << 20)] = 16 << 20
-    settle_ms: Annotated[int, Meta(ge=0, le=1500)] = 500  # a server no source names is kept so long
+    settle_ms: Annotated[int, Meta(ge=0, le=1000)] = 500  # a server no source names is kept so long
     drain_s: Annotated[int, Meta(ge=1, le=3600)] = 30  # then it drains so long, then it is gone
-    poll_ms: Annotated[int, Meta(ge=50, le=1000)] = 500  # between two looks where inotify does not serve
+    poll_ms: Annotated[int, Meta(ge=50, le=500)] = 500  # between two looks where inotify does not serve
 
 
 class Place(Struct, frozen=True, rename={"klass": "class"}):
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -328,6 +328,11 @@
         """Give a server a number before any list has named it."""
         numbered(server, self.numbers)
 
+    def standing(self, server: str) -> int:
+        """Connections that stand at a server."""
+        found = self.balancer.servers.get(self.numbers.get(server, 0))
+        return len(found.open) if found is not None else 0
+
     @property
     def cordoned(self) -> list[str]:
         return sorted(self.names[backend] for backend in self.balancer.cordoned)
--- a/arrowseam/members/files.py
+++ b/arrowseam/members/files.py
@@ -33,7 +33,8 @@
 CHILD_AGAIN = SECOND  # between two starts of the child
 PACE = 9  # the loop's time spent on a list, times this, passes before the next list is read
 PACE_MAX = SECOND // 2
-LEAST_GAP = 10 * MS
+LEAST_GAP = 20 * MS  # between two readings: a script may rewrite a hundred times a second
+SAY_GAP = SECOND  # the same refusal of the same file is logged no more often
 ALLOWED_FOR = 600 * SECOND  # how long an ``allow`` waits for its file
 PRIMED_WITHIN = 3 * SECOND  # at the start clients wait for the files so long
 BIG = 1000  # servers; from there on what was taken is moved out of the collector's way
@@ -47,6 +48,7 @@
         """``state`` is what another process of this proxy hands over."""
         self.loop, self.config, self.facade = loop, config, facade
         self.roster = Roster()
+        self.roster.busy = lambda name: facade.standing(name) > 0
         self.specs: dict[str, Servers] = {}
         self.state_dir = ""
         self.child: Child | None = None
@@ -59,6 +61,7 @@
         self.not_before = 0
         self.spent = 0
         self.owed = False  # the module has been told that more follows
+        self.said: dict[tuple[str, str], int] = {}  # source and reason -> when that was last logged
         self.told = 0
         try:
             self.watch = Watch(loop, self._wrote)
@@ -310,11 +313,12 @@
         source = self.roster.sources.get(name)
         if source is None:
             return
-        again = source.refused == (reason, text)
+        again = source.refused == (reason, text) or clock() < self.said.get((name, reason), 0) + SAY_GAP
         self.roster.refuse(name, reason, text, clock())
         if reason == "torn":
             self._look(name, clock() + 20 * MS)
         if not again:
+            self.said[name, reason] = clock()
             held = f"{len(source.members)} servers from {age(source.good_ms)} ago stay"
             if source.told_at is None:
                 held = "no earlier list is known"
@@ -402,6 +406,8 @@
     def close(self) -> None:
         if self.child is not None:
             self.child.close()
+        if self.watch is not None:
+            self.watch.close()
 
 
 def _line(**what: Any) -> bytes:
--- a/arrowseam/members/roster.py
+++ b/arrowseam/members/roster.py
@@ -8,8 +8,8 @@
   first.
 * A server that any source calls Terminating drains.
 * A server stays as long as a source names it. One that no file names any more is kept for ``settle``, since
-  it may be on its way from one file to another; then it drains for ``drain``, then it is gone. What the
-  directory calls gone, and nobody else names, is gone at once.
+  it may be on its way from one file to another; then it drains for ``drain`` and until it is empty, then it
+  is gone. What the directory calls gone, and nobody else names, is gone at once.
 * One address under two names counts once: for the higher rank, else for the one that had it.
 * A source that is no longer configured stays until all that are new have told a good list.
 """
@@ -18,13 +18,14 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from arrowseam.members.listing import DRAINING, GONE, READY, Member
 
 DIRECTORY, KNOWN = "directory", "known"
+BUSY = 250_000  # a server that has drained for long enough but is not empty is looked at again so soon
 
 
 class Spec(NamedTuple):
@@ -91,6 +92,7 @@
         self.first: dict[str, None] = {}  # to be looked at: those that may leave, then the others
         self.rest: dict[str, None] = {}
         self.due: list[tuple[int, str]] = []
+        self.busy: Callable[[str], bool] = lambda name: False  # whether connections stand there
         self.anew: set[str] = set()  # to be told again though nothing has changed
 
     # --- the sources ---
@@ -184,14 +186,13 @@
         while self.due and self.due[0][0] <= now:
             self.first[heapq.heappop(self.due)[1]] = None
         found = []
-        for queue in (self.first, self.rest):
-            while queue and most > 0:
-                most -= 1
-                name = next(iter(queue))
-                del queue[name]
-                member = self._look(name, now)
-                if member is not None:
-                    found.append(member)
+        while most > 0 and (queue := self.first or self.rest):
+            most -= 1
+            name = next(iter(queue))
+            del queue[name]
+            member = self._look(name, now)
+            if member is not None:
+                found.append(member)
         return found
 
     @property
@@ -216,7 +217,7 @@
             self.told[name] = wanted
             return wanted
         if told is None:
-            self.best.pop(name, None)
+            self._forget(name)
             return None
         return self._let_go(name, told, now)
 
@@ -267,6 +268,8 @@
             # Those that had it leave; guards against one machine that counts twice.
             others = [other for other in claims if other != name]
             self.first.update({o: None for o in others if o in self.told and o not in self.leaving})
+        elif owner not in self.told or owner in self.leaving:
+            self.rest[owner] = None  # it has come to it by what has changed here
         return owner == name
 
     def _let_go(self, name: str, told: Member, now: int) -> Member | None:
@@ -289,11 +292,21 @@
             return None
         if now < leaving.gone_at:
             return None
+        if self.busy(name):
+            # Its connections are being moved: once it is gone nobody would go on with that.
+            leaving.gone_at = now + BUSY
+            heapq.heappush(self.due, (leaving.gone_at, name))
+            return None
         return self._gone(name, told)
 
+    def _forget(self, name: str) -> None:
+        """Unless it is still named, and only its address counts as another's."""
+        if not self.names(name):
+            self.best.pop(name, None)
+
     def _gone(self, name: str, told: Member) -> Member:
         self.leaving.pop(name, None)
-        self.best.pop(name, None)
+        self._forget(name)
         self.since.pop(name, None)
         del self.told[name]
         return told._replace(state=GONE)
--- a/tests/network.py
+++ b/tests/network.py
@@ -169,7 +169,15 @@
 
 
 class World:
-    def __init__(self, wire: str, *modes: str, known: bool = True, **changes: Any) -> None:
+    def __init__(
+        self,
+        wire: str,
+        *modes: str,
+        known: bool = True,
+        operator: Any = None,
+        directory: bool = True,
+        **changes: Any,
+    ) -> None:
         self.wire, self.words, self.loop = wire, WORDS[wire], Loop()
         self.stood = 0.0  # the longest that a round took, of those last run, in seconds
         self.flying = self.most_flying = 0
@@ -177,11 +185,11 @@
         self.version, self.told, self.calls = 1, [], []
         self.bad: bytes | None = None  # what the directory answers in place of a list
         self.servers = [Server(self, f"s{n}", mode) for n, mode in enumerate(modes)]
-        directory = self.loop.listen(("127.0.0.1", 0), "directory", self._directory)
+        asked = self.loop.listen(("127.0.0.1", 0), "directory", self._directory).address[1]
         rows = [server.row for server in self.servers]
         doc = {
             "name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0",
-            "discovery": f"127.0.0.1:{directory.address[1]}",
+            "discovery": f"127.0.0.1:{asked}" if directory else "",
             "seed": "1f", "limits": {"sockets": 1000}, "settings": SETTINGS | changes,
             "known": {"generation": 1, "reset": True, "instances": rows if known else []},
         }  # fmt: skip
@@ -196,7 +204,7 @@
         }
         nats["servers"] = {row["instanceId"]: row["hostPort"] for row in rows}
         self.second = read_nats_config(json.dumps(nats).encode(), self.config)
-        self.proxy = Proxy(self.loop, self.config, self.second)
+        self.proxy = Proxy(self.loop, self.config, self.second, operator=operator)
         self.relay = self.proxy.relay
         self.addresses = {listener.name: listener.address for listener in self.loop.listeners}
         self.address = self.addresses["front" if wire == "lines" else "nats"]
@@ -287,6 +295,8 @@
         raise AssertionError("the machine stands still too often")
 
     def close(self) -> None:
+        if self.proxy.members is not None:
+            self.proxy.members.close()
         for conn in list(self.loop.conns.values()):
             if isinstance(conn, Conn):
                 conn.close()
