--- a/arrowseam/members/files.py
+++ b/arrowseam/members/files.py
@@ -30,7 +30,7 @@
 QUIET = 250 * MS  # a writer that has said nothing for so long though it holds the file open is taken for done
 LOOK_EVERY = 5 * SECOND  # a look at what inotify may have missed
 READ_WITHIN = 5 * SECOND  # a child that is busier than that with one file is ended
-CHILD_AGAIN = SECOND  # between two starts of the child
+CHILD_AGAIN = 300 * MS  # between two starts of the child
 PACE = 9  # the loop's time spent on a list, times this, passes before the next list is read
 PACE_MAX = SECOND // 2
 LEAST_GAP = 20 * MS  # between two readings: a script may rewrite a hundred times a second
@@ -76,6 +76,8 @@
                 self.roster.take_up(state, clock())
             except (KeyError, TypeError, ValueError) as error:
                 log("snapshot.refused", f"members: what was handed over makes no sense: {error!r}", "warning")
+        # The module begins with the first thing it hears, and only then asks for the directory's list.
+        facade.listing(listing("aside", 0, (), config, facade.numbers))
         loop.wake(self.telling)
 
     def _known(self) -> None:
@@ -131,6 +133,8 @@
     def directory(self, kind: str, version: int, members: list[Member]) -> None:
         """An answer of the directory: ``full``, ``cached`` or ``changes``."""
         now = clock()
+        if DIRECTORY not in self.roster.sources:
+            return  # it has been given up
         if kind == "changes":
             gone = [m.name for m in members if m.state == "Gone"]
             self.roster.tell(
@@ -213,6 +217,9 @@
 
     def _read(self) -> Steps[None]:
         while True:
+            if self.child is not None and self.child.ended:
+                self.child.close()
+                self._lost("has ended")
             due = min(self.looks.values(), default=None)
             if due is None or clock() < max(due, self.not_before):
                 yield None if due is None else max(due, self.not_before)
@@ -225,19 +232,24 @@
             try:
                 yield from self._ask(name, always)
             except (ChildEnded, OSError) as error:
-                log("worker.ended", f"files: the child that reads them {error}; it is started again", "error")
-                self.child = None
-                self.begun.clear()
                 if name in self.roster.sources:
                     self.roster.refuse(name, REASON_WORKER, f"the child that reads it {error}", clock())
                     self.heard.add(name)
-                    self._look(name, clock() + CHILD_AGAIN)
-                self.not_before = clock() + CHILD_AGAIN
+                self._lost(str(error))
                 continue
             while self.roster.behind:  # what was read is told before the next is read
                 yield clock() + LEAST_GAP
             self.not_before = clock() + min(PACE_MAX, LEAST_GAP + PACE * self.spent)
 
+    def _lost(self, why: str) -> None:
+        """The child is gone: another is told what we hold, and looks at every file."""
+        log("worker.ended", f"files: the child that reads them {why}; it is started again", "error")
+        self.child = None
+        self.begun.clear()
+        self.not_before = clock() + CHILD_AGAIN
+        for name in self.specs:
+            self._look(name, self.not_before)
+
     def _ask(self, name: str, always: bool) -> Steps[None]:
         if self.child is None:
             self.child = Child(self.loop, WORKER)
@@ -405,9 +417,11 @@
 
     def close(self) -> None:
         if self.child is not None:
-            self.child.close()
+            self.child.leave()  # it may still have a list to write down
+            self.child = None
         if self.watch is not None:
             self.watch.close()
+            self.watch = None
 
 
 def _line(**what: Any) -> bytes:
--- a/arrowseam/net/directory.py
+++ b/arrowseam/net/directory.py
@@ -51,7 +51,7 @@
         self.conn: Conn | None = None
         self.http: h11.Connection | None = None
         self.task: Task | None = None
-        if config.known:
+        if config.known and self.address:
             try:
                 self._take(config.known, cached=True)
                 self.whole = False
--- a/arrowseam/offload/child.py
+++ b/arrowseam/offload/child.py
@@ -81,6 +81,15 @@
         self.close()
         raise ChildEnded(why if code is None else f"has ended with {code}")
 
+    @property
+    def ended(self) -> bool:
+        """Whether it has ended, as far as is known; its last words may still be there to be heard."""
+        return self.conn.left
+
+    def leave(self) -> None:
+        """Nothing more is asked; it ends by itself once it is done with what it was asked."""
+        self.conn.close()
+
     def close(self) -> None:
         """End it. It is waited for by the next one started, or by the system at our own end."""
         self.conn.close()
