--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -32,19 +32,29 @@
         del self.nats["health"], self.nats["agent"]
         self.world.address = ("127.0.0.1", listen if wire == "lines" else nats)
 
-    def start(self) -> subprocess.Popen[bytes]:
+    def start(self, *more: str) -> subprocess.Popen[bytes]:
         """One more process, when it says that it serves."""
-        process = self.begin()
+        process = self.begin(*more)
         self.world.until(lambda: self.call(b"health\n") == b"ACK\n", 10)
         return process
 
-    def begin(self) -> subprocess.Popen[bytes]:
+    def begin(self, *more: str) -> subprocess.Popen[bytes]:
         port = free_port()
         self.world.addresses["control"] = ("127.0.0.1", port)
         path, nats = self.folder / f"{port}.json", self.folder / "nats.json"
         path.write_text(json.dumps(self.doc | {"control": f"127.0.0.1:{port}"}))
         nats.write_text(json.dumps(self.nats))
-        words = [sys.executable, "-m", "arrowseam", "serve", "--config", str(path), "--nats", str(nats)]
+        words = [
+            sys.executable,
+            "-m",
+            "arrowseam",
+            "serve",
+            "--config",
+            str(path),
+            "--nats",
+            str(nats),
+            *more,
+        ]
         log = (self.folder / f"{port}.log").open("wb")
         process = subprocess.Popen(
             words, stdout=log, stderr=log, env=os.environ | {"TMPDIR": str(self.folder)}
@@ -309,3 +319,34 @@
         sock.close()
     loop.epoll.close()
     os.close(loop.spare)
+
+
+def test_servers_from_files_outlive_an_upgrade_beside_a_bad_file(pair):
+    """The new process serves from what the old one held, drains what that drains, and reads on."""
+    w = pair.world
+    operator, path = pair.folder / "op.star", pair.folder / "servers.json"
+    operator.write_text('servers(file="servers.json", max_removed=0.6, settle_ms=0, drain_s=30)')
+    pair.doc |= {"discovery": "", "known": {}}
+    rows = [server.row for server in w.servers]
+    path.write_text(json.dumps({"generation": 4, "instances": rows}))
+    pair.start("--operator", str(operator))
+    served = w.up(6)
+    path.write_text(json.dumps({"generation": 5, "instances": rows[:1]}))
+    w.until(lambda: b'"state":"leaving"' in pair.call(b"members\n"))
+    path.write_text('{"generation": 6, "instances": [')
+    w.until(lambda: b"refused.json" in pair.call(b"counters\n"))
+    pair.start("--operator", str(operator))
+    sources = [json.loads(line) for line in pair.call(b"sources\n").splitlines()[:-1]]
+    assert [(s["origin"], s["servers"], s["generation"]) for s in sources] == [("hand-over", 1, 5)]
+    states = {
+        row["instanceId"]: row["state"] for row in map(json.loads, pair.call(b"members\n").splitlines()[:-1])
+    }
+    assert states == {"s0": "ready", "s1": "leaving"}
+    w.until(lambda: not w.servers[1].live, 10)
+    more = w.up(4)
+    assert not w.servers[1].live and not any(c.ended_at for c in more)
+    assert all(c.has("moved") for c in served if c.ended_at)
+    path.write_text(json.dumps({"generation": 3, "instances": rows}))  # older than what was handed over
+    w.until(lambda: b"refused.generation" in pair.call(b"counters\n"))
+    path.write_text(json.dumps({"generation": 6, "instances": rows}))
+    w.until(lambda: b'"leaving"' not in pair.call(b"members\n"))
