--- a/tests/test_watched_files.py
+++ b/tests/test_watched_files.py
@@ -101,19 +101,24 @@
 
 
 def test_traffic_goes_on_whatever_a_script_writes(files):
-    """Truncated all over, malformed in each way, and good: no connection on a server that the last good list
-    leaves out, none lost, none cut without being told to move."""
-    f = files()
+    """Truncated at every byte, malformed in each way, and good: no connection on a server that the last good
+    list leaves out, none lost, none cut without being told to move."""
+    f = files(max_bytes=2000)
     w = f.world()
-    f.taken(w, f.text(w, 0, 1))
-    served, good = w.up(8), f.text(w, 0, 1, weight=2.0)
+    f.taken(w, f.text(w, 0, 1, generation=True))
+    served, good = w.up(8), f.text(w, 0, 1, weight=2.0, generation=True)
     source = w.proxy.members.roster.sources["a"]
     heard = [len(s.heard) for s in w.servers]
-    bad = [good[:size] for size in range(0, len(good), 3)]
-    bad += [
-        good.replace(a, b) for a, b in ((b"2.0", b"0"), (b"2.0", b"-1"), (b"2.0", b"NaN"), (b"Ready", b"Up"))
-    ]
-    bad += [f.text(w, 0, 0), b'{"instances":[]}', b"\xff\xfe", good + b"{", f.text(w, 2)]
+    bad = [good[:size] for size in range(len(good))]
+    for old, new in (
+        (b"2.0", b"0"), (b"2.0", b"-1"), (b"2.0", b"NaN"), (b"2.0", b"1e999"), (b"2.0", b"1e9"),
+        (b"Ready", b"Up"), (b'"zone"', b'"zone": "y", "zone"'), (b'"s1"', b'"s0"'),
+        (w.servers[1].row["hostPort"].encode(), w.servers[0].row["hostPort"].encode()),
+        (b'"generation": 2', b'"generation": 0'),
+    ):  # fmt: skip
+        assert old in good
+        bad.append(good.replace(old, new))
+    bad += [b'{"instances":[]}', b"\xff\xfe", good + b"{", f.text(w, 2), good + b" " * 2000]
     for data in bad:
         seen = source.refusals.total()
         f.put(data)
