--- a/arrowseam/members/files.py
+++ b/arrowseam/members/files.py
@@ -140,7 +140,7 @@
             gone = [m.name for m in members if m.state == "Gone"]
             self.roster.tell(
                 DIRECTORY,
-                [m for m in members if m.state != "Gone"],
+                {m.name: m for m in members if m.state != "Gone"},
                 gone,
                 now,
                 version,
@@ -307,12 +307,12 @@
         if verdict == "refused":
             self._refused(name, origin, head["reason"], head["text"])
         elif verdict == "good":
-            changed: list[Member] = []
+            changed: dict[str, Member] = {}
             removed: list[str] = []
             for _ in range(head["lines"]):
                 part = yield from self._hear(child)
                 began = clock()
-                changed += [Member(*row) for row in part.get("rows", ())]
+                changed.update({row[0]: Member(*row) for row in part.get("rows", ())})
                 removed += part.get("removed", ())
                 self.spent += clock() - began
                 yield from self.loop.rest()
@@ -347,7 +347,7 @@
             )
 
     def _good(
-        self, name: str, origin: str, head: dict[str, Any], changed: list[Member], removed: list[str]
+        self, name: str, origin: str, head: dict[str, Any], changed: dict[str, Member], removed: list[str]
     ) -> None:
         if name not in self.roster.sources:
             return
--- a/arrowseam/members/roster.py
+++ b/arrowseam/members/roster.py
@@ -18,7 +18,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -89,8 +89,8 @@
         self.told: dict[str, Member] = {}  # what the module was last told
         self.since: dict[str, int] = {}  # when its state was last told anew
         self.leaving: dict[str, Leaving] = {}
-        self.first: dict[str, None] = {}  # to be looked at: those that may leave, then the others
-        self.rest: dict[str, None] = {}
+        self.first: dict[str, object] = {}  # to be looked at: those that may leave, then the others
+        self.rest: dict[str, object] = {}
         self.due: list[tuple[int, str]] = []
         self.busy: Callable[[str], bool] = lambda name: False  # whether connections stand there
         self.anew: set[str] = set()  # to be told again though nothing has changed
@@ -135,7 +135,7 @@
     def tell(
         self,
         name: str,
-        changed: Sequence[Member],
+        changed: Mapping[str, Member],
         removed: Sequence[str],
         now: int,
         generation: int | None = None,
@@ -147,12 +147,11 @@
         for gone in removed:
             if source.members.pop(gone, None) is not None:
                 self.first[gone] = None
-        for member in changed:
+        for key, member in changed.items():
             if member.state != READY:
-                self.first[member.name] = None
-        rows = {member.name: member for member in changed}
-        source.members.update(rows)
-        self.rest.update(dict.fromkeys(rows))
+                self.first[key] = None
+        source.members.update(changed)
+        self.rest.update(changed)
         if generation is not None:
             source.generation = generation
         source.told_at, source.good_ms, source.origin = now, good_ms, origin
@@ -165,7 +164,7 @@
         """A source has said its whole list."""
         held = self.sources[name].members
         new = {member.name: member for member in members}
-        changed = [member for key, member in new.items() if held.get(key) != member]
+        changed = {key: member for key, member in new.items() if held.get(key) != member}
         self.tell(name, changed, [key for key in held if key not in new], now, **told)
 
     def refuse(self, name: str, reason: str, text: str, now: int) -> None:
--- a/tests/test_members_rules.py
+++ b/tests/test_members_rules.py
@@ -215,7 +215,7 @@
     r = roster()
     r.replace(DIRECTORY, [member("a")], 0)
     r.changes(0)
-    r.tell(DIRECTORY, [], ["a"], 5)
+    r.tell(DIRECTORY, {}, ["a"], 5)
     assert states(r.changes(5)) == {"a": GONE}
 
 
