--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -68,9 +68,9 @@
     """A backend as this relay knows it."""
 
     __slots__ = (
-        "awaited", "back_at", "cell", "entry", "held", "id", "listed", "load", "lot", "open", "probers",
-        "reported", "reported_at", "share", "slow_at", "started", "state", "strikes", "struck_at", "tokens",
-        "tokens_at", "zone",
+        "awaited", "back_at", "cell", "entry", "held", "id", "leaves_at", "listed", "load", "lot", "open",
+        "probers", "reported", "reported_at", "share", "slow_at", "started", "state", "strikes", "struck_at",
+        "tokens", "tokens_at", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.Backend) -> None:
@@ -85,6 +85,7 @@
         self.reported_at = -(1 << 62)
         self.back_at = 0  # put back by hand: cold from then on, whatever the list knows of its start
         self.awaited = False  # put back and not sent anything since
+        self.leaves_at = 0  # when it was first seen to drain with connections of this relay
         self.follow(entry)
         self.forget(0)
 
@@ -202,7 +203,10 @@
 QUOTA_PART = 0.82
 GROUP_COST = 3.0  # two mean loads for each, and other relays hold groups there that this one does not
 LEVEL_SHARE = 0.1  # of the connections held there, moved at a time, once a second
-LEAVE_SHARE = 0.5  # the same of a backend that drains, which stops a few seconds later
+LEAVE_SHARE = 0.5  # the same of a backend taken out by hand
+# The same of a backend that drains, for each second since this was told: it stops a few seconds later and may
+# send its clients away itself, while what takes its place has hardly started.
+LEAVE_GROWTH = 0.05
 LEVEL_DOUBT = 1.0  # standard deviations
 LIKELY = 1.5  # how much better than the slowest allowed a backend is likely to warm up
 SPARE = 0.8  # with more of the fleet taken than this there is no better place to move to
@@ -1016,13 +1020,20 @@
         return server.state is BackendState.DRAINING or server.id in self.cordoned
 
     def _leave(self) -> None:
-        """Move what stands on draining backends, half of it a second.
+        """Move what stands on draining backends: hardly anything at first, then more of what is left.
 
-        Guards against a crowd that is cut off at once when such a backend stops, and comes again at once.
+        Guards against a crowd that is cut off at once when such a backend stops, and one that leaves it at
+        once, from all relays together, while it can still carry them and little else can. Where a relay
+        holds one or two there, chance decides: one at least from each would be all of them.
         """
         for server in list(self.serving.values()):
-            if self._leaving(server):
+            if server.id in self.cordoned:
                 self._thin(server, LEAVE_SHARE, least=1)  # the last ones must not hang on by chance
+            elif server.state is BackendState.DRAINING:
+                server.leaves_at = server.leaves_at or self.now
+                self._thin(server, min(1.0, LEAVE_GROWTH * (self.now - server.leaves_at + SECOND) / SECOND))
+            else:
+                server.leaves_at = 0
 
     def _level(self) -> None:
         """Move some of what stands on a backend that by its weight must carry more than it can.
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,78 @@
+"""Many relays under one clock that share nothing: what one does is little, the sum over all is counted."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from helpers import START, settings
+
+from arrowseam import Balancer, api
+
+
+class Fleet:
+    """``relays`` modules, each with its own timers; whatever is sent comes up at once."""
+
+    def __init__(self, relays: int, entries: tuple[api.Backend, ...], **changes: Any) -> None:
+        self.now = START
+        self.relays = [
+            Balancer(settings(relay=n, relays=relays, **changes), seed=n + 1) for n in range(relays)
+        ]
+        self.timers: list[tuple[int, int, int]] = []
+        self.standing: dict[tuple[int, int], int] = {}  # (relay, request) -> backend
+        self.sent: list[tuple[int, int]] = []  # (when, backend)
+        self.moved: Counter[int] = Counter()  # by backend
+        self.refused: list[tuple[int, int]] = []  # (relay, request)
+        self.count = 0
+        self.told(api.BackendList(api.ListKind.FULL, 1, entries))
+
+    def told(self, *events: api.Event) -> None:
+        for n in range(len(self.relays)):
+            self.hand(n, *events)
+
+    def hand(self, n: int, *events: api.Event) -> None:
+        for action in self.relays[n].handle(self.now, list(events)):
+            match action:
+                case api.WakeAt(delay, token):
+                    heapq.heappush(self.timers, (self.now + max(1, delay), n, token))
+                case api.Send(request, backend):
+                    self.sent.append((self.now, backend))
+                    self.standing[n, request] = backend
+                    self.hand(n, api.Established(request, 0, backend, 10_000))
+                case api.Move(request):
+                    backend = self.standing.pop((n, request))
+                    self.moved[backend] += 1
+                    self.hand(n, api.AttemptEnded(request, 0, backend, api.Outcome.CANCELLED, 0, True))
+                case api.Refuse(request):
+                    self.refused.append((n, request))
+
+    def ask(self, n: int, **fields: Any) -> None:
+        self.count += 1
+        self.hand(n, api.Request(self.count, **({"time_left": 2_000_000} | fields)))
+
+    def adopt(self, n: int, backend: int, **fields: Any) -> None:
+        """A connection that stood before."""
+        self.count += 1
+        self.standing[n, self.count] = backend
+        self.hand(n, api.Adopted(api.Request(self.count, time_left=0, **fields), backend))
+
+    def run(self, span: int) -> None:
+        """Let time pass: timers, and a look of each relay at least every 100 ms, as in a day of traffic."""
+        end = self.now + span
+        while self.now < end:
+            stop = min(end, self.now + 100_000)
+            while self.timers and self.timers[0][0] <= stop:
+                at, n, token = heapq.heappop(self.timers)
+                self.now = max(self.now, at)
+                self.hand(n, api.Timer(token))
+            self.now = stop
+            self.told()
+
+    def held(self) -> Counter[int]:
+        return Counter(self.standing.values())
+
+
+def numbers(entries: Iterable[api.Backend]) -> list[int]:
+    return [entry.backend for entry in entries]
