--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -118,8 +118,9 @@
     """A request from its arrival until its last attempt has ended."""
 
     __slots__ = (
-        "answered", "attempts", "deadline", "errors", "fresh", "group", "id", "key", "limit", "load",
-        "looks", "mean", "open", "picks", "ran_at", "ran_on", "rule", "server", "tenant", "tried", "up_at",
+        "again", "answered", "attempts", "deadline", "errors", "fresh", "group", "id", "key", "limit",
+        "load", "looks", "mean", "open", "picks", "ran_at", "ran_on", "rule", "server", "tenant", "tried",
+        "up_at",
     )  # fmt: skip
 
     def __init__(
@@ -138,11 +139,12 @@
         self.open = False
         self.errors = 0  # servers that answered it with one
         self.up_at = now
+        self.again = request.returned or request.repeat
         self.answered = False
         self.ran_on: Server | None = None  # first attempt that may have run
         self.ran_at = 0
         self.load = request.load if request.load > 0 else mean.load
-        self.fresh = not (request.returned or request.repeat)  # and not looked at before
+        self.fresh = not self.again  # and not looked at before
         self.looks = 0  # rounds of probes sent for it
         self.picks: list[Server] = []  # probed for it in the last round
 
@@ -233,6 +235,7 @@
         self.servers: dict[int, Server] = {}
         self.reckoning: Iterator[None] | None = None  # shares of a large fleet, being rebuilt
         self.whole = self.sound = 0  # weight that the list has ready, and of that what is not cordoned
+        self.before = 0  # weight of what drains, and of what is ready and warm
         self.cold: list[Server] = []  # of these
         self.unsorted = False  # some have come since they were put in order of their ids
         self.cordoned: set[int] = set()  # taken out by hand: no list and no restart clears it
@@ -397,6 +400,8 @@
             server.share = share
         self.ready, self.cumulative, self.home = ready, cumulative, home
         self.total = cumulative[-1] if ready else 0
+        leaves = sum([s.listed for s in everyone if s.state is BackendState.DRAINING])
+        self.before = whole + leaves - sum([s.listed for s in cold])
         self.whole, self.cold, self.sound = whole, cold, sum([weight for _, weight in pairs])
         if not self.settings.tells_delay:
             self._take_stock()
@@ -416,7 +421,7 @@
         welcome = self._welcome(passed, allowed)
         if welcome is not None:
             return welcome
-        if job.group and self.scarce:
+        if job.group and (self.scarce or job.again):
             return self._gathered(job, passed, allowed, fresh)
         denied = 0
         for _ in range(HEAD_TRIES):
@@ -458,8 +463,8 @@
     ) -> Server | None:
         """The next down an order that is the same for all connections of a group, at every relay.
 
-        Guards against paying for every group at every backend where the fleet is short: that may take as much
-        of what is left as the connections do. The weights are the ordinary ones.
+        Guards against paying for every group at every backend: where the fleet is short or many come again at
+        once, that may take as much of what is left as the connections do. The weights are the ordinary ones.
         """
         order = sorted(self.ready, key=lambda s: math.log(_spot(job.group, s.id)) / s.share, reverse=True)
         denied = 0
@@ -623,7 +628,11 @@
         if whole <= self.listed:
             self.grown, self.grown_at = whole, self.now
         self.grown = min(self.grown, whole) if self.grown > self.listed else whole
-        if not self.listed or self.now - self.grown_at >= OVERLAP:
+        if not self.listed:
+            # A relay that starts during a release has not seen the fleet whole: what drains was part of it.
+            # Later on a server and the one in its place would count twice.
+            self.listed, self.grown_at = max(whole, self.before), self.now
+        elif self.now - self.grown_at >= OVERLAP:
             self.listed, self.grown_at = max(self.listed, self.grown), self.now
         if whole >= SHORT * self.listed:
             self.whole_at = self.now
