--- a/arrowseam/logs/__init__.py
+++ b/arrowseam/logs/__init__.py
@@ -31,6 +31,7 @@
         "cordons.unread",
         "directory.failed",
         "directory.left",
+        "directory.told",
         "directory.unread",
         "drain.begun",
         "drain.done",
--- a/arrowseam/net/directory.py
+++ b/arrowseam/net/directory.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -48,6 +49,7 @@
         self.rows: dict[str, Any] = {}  # the list held, in the directory's own form
         self.whole = True  # the next call asks for the whole list
         self.asked = False
+        self.trace = False  # log every answer
         self.conn: Conn | None = None
         self.http: h11.Connection | None = None
         self.task: Task | None = None
@@ -106,6 +108,7 @@
         while True:
             while not self.asked:
                 yield None
+            began = clock()
             try:
                 doc = yield from self._call(address)
                 try:
@@ -113,6 +116,17 @@
                 except (ValueError, ConfigError) as error:
                     raise CallFailed(f"bad answer: {error}") from None
                 self.whole = False
+                if self.trace:
+                    states = Counter(row["lifecycle"] for row in self.rows.values())
+                    told = f"{states['Ready']} ready, {states['Terminating']} draining"
+                    spent = (clock() - began) // MS
+                    log(
+                        "directory.told",
+                        f"directory: version {self.version} after {spent} ms: {told}",
+                        "debug",
+                        version=self.version,
+                        ms=spent,
+                    )
             except (CallFailed, h11.ProtocolError) as error:
                 # The list held stays in force; the module says when to ask again.
                 log("directory.failed", f"directory: call failed: {error}")
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -237,16 +237,7 @@
                     end = "unreachable"
                 else:
                     end = yield from consumer.call(answer.server, address, answer.due, invocation.stop)
-                if self.trace:
-                    spent = (clock() - invocation.called_at) // MS
-                    log(
-                        "call.ended",
-                        f"call: {invocation.name} at {answer.server}: {end} after {spent} ms",
-                        "debug",
-                        server=answer.server,
-                        end=end,
-                        ms=spent,
-                    )
+                self._note_call(invocation, answer.server, end, invocation.called_at)
                 if end == "up":
                     self._answered(invocation, "success")
                     self.facade.report(invocation, "up")
@@ -279,12 +270,29 @@
                 yield from consumer.fail()
                 return
 
+    def _note_call(self, invocation: Invocation, server: str, end: str, began: int) -> None:
+        if not self.trace:
+            return
+        spent = (clock() - began) // MS
+        group = f", group {invocation.group:x}" if invocation.group else ""
+        log(
+            "call.ended",
+            f"call: {invocation.name} at {server}: {end} after {spent} ms{group}",
+            "debug",
+            server=server,
+            end=end,
+            ms=spent,
+            group=invocation.group,
+        )
+
     def _resume(self, invocation: Invocation, consumer: Consumer) -> Steps[bool]:
         """A connection that stood before this process did: its own server or none, until time is up."""
         while not invocation.left():
             address = self.address(invocation.server)
             if address is not None:
+                began = clock()
                 end = yield from consumer.call(invocation.server, address, invocation.due, invocation.left)
+                self._note_call(invocation, invocation.server, end, began)
                 if end == "up":
                     self._answered(invocation, "success")
                     self.facade.adopt(invocation)
--- /dev/null
+++ b/tests/test_fleet_counts.py
@@ -0,0 +1,59 @@
+"""The counting of logs, on two small ones made by hand."""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+SCRIPT = Path(__file__).parent.parent / "benchmarks" / "fleet_counts.py"
+
+LOGS = {
+    "n0": """\
+0.100 arrowseam 0.1.0: n0 listens on 127.0.0.1:1
+1.000 directory: version 3 after 900 ms: 2 ready, 0 draining
+1.050 call: a at s-1: up after 50 ms, group f
+1.900 call: b at s-1: full after 10 ms, group f
+1.950 call: b at s-2: up after 20 ms, group f
+2.500 move: a off s-1
+3.000 directory: call failed: no answer in time
+3.100 rejection: c for 250 ms
+torn li""",
+    "n1": """\
+1.400 directory: version 3 after 1300 ms: 2 ready, 0 draining
+2.900 call: d at s-1: up after 100 ms, group e
+4.000 end: d at s-1: reset, unanswered for 3 ms
+5.000 arrowseam 0.1.0: n1 listens on 127.0.0.1:2""",
+}
+
+
+@pytest.fixture
+def script() -> ModuleType:
+    spec = importlib.util.spec_from_file_location("fleet_counts", SCRIPT)
+    assert spec is not None and spec.loader is not None
+    module = sys.modules[spec.name] = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_what_each_wrote_is_counted_over_all(script: ModuleType, tmp_path: Path) -> None:
+    for name, text in LOGS.items():
+        (tmp_path / f"{name}.log").write_text(text)
+    counts = script.count(tmp_path)
+    seconds = counts.seconds
+    assert (seconds[1]["told"], seconds[1]["call up"], seconds[1]["call full"]) == (2, 2, 1)
+    assert [(seconds[s]["standing"], seconds[s]["pairs"]) for s in (1, 2, 3, 4)] == [
+        (2, 2),
+        (2, 2),
+        (2, 2),
+        (1, 1),
+    ]
+    assert (seconds[2]["moves"], seconds[3]["refused"], seconds[3]["list failed"]) == (1, 1, 1)
+    assert seconds[4]["end reset"] == 1
+    assert counts.told == {3: [1.0, 1.4]}
+    assert counts.servers["s-1"] == {"up": 2, "full": 1, "moved off": 1}
+    assert counts.most("s-1") == 3 and counts.most("s-2") == 1  # began at 1.00, 1.89 and 2.80
+    assert "s-1: full 1, moved off 1, up 2; 3" in script.report(counts)
