--- a/benchmarks/fleet_counts.py
+++ b/benchmarks/fleet_counts.py
@@ -6,7 +6,8 @@
 seconds by a clock that they share. What is little in one log may be too much in forty. Printed are:
 
 - by second: answers of the directory and calls to it that failed, calls to servers by how they ended,
-  refusals, moves, connections by how they ended, those that stand, pairs of a group and a server of it;
+  refusals, moves, those off silent servers, connections by how they ended, those that stand, pairs of a group
+  and a server of it;
 - by version of the list: when the first proxy and the last one were told;
 - by server: calls by how they ended, and the most that all proxies together sent there within 2 s.
 
@@ -24,6 +25,7 @@
 CALL = re.compile(r"call: (\S+) at (\S+): (\S+) after (\d+) ms(?:, group (\w+))?$")
 END = re.compile(r"end: (\S+) at (\S+): (\w+)")
 MOVE = re.compile(r"move: (\S+) off (\S+)$")
+MUTE = re.compile(r"mute: (\S+) moved off")
 REFUSED = re.compile(r"rejection: (\S+) for (\d+) ms$")
 TOLD = re.compile(r"directory: version (\d+) after (\d+) ms:")
 WINDOW = 2.0  # seconds: the span over which the rules count what a cold server is sent
@@ -85,6 +87,9 @@
             standing.pop((proxy, found[1]), None)
             row["moves"] += 1
             counts.servers[found[2]]["moved off"] += 1
+        elif found := MUTE.match(text):
+            standing.pop((proxy, found[1]), None)
+            row["mute"] += 1
         elif REFUSED.match(text):
             row["refused"] += 1
         elif found := TOLD.match(text):
--- a/tests/test_fleet_counts.py
+++ b/tests/test_fleet_counts.py
@@ -21,6 +21,7 @@
 2.500 move: a off s-1
 3.000 directory: call failed: no answer in time
 3.100 rejection: c for 250 ms
+3.200 mute: b moved off a server that brings nothing back
 torn li""",
     "n1": """\
 1.400 directory: version 3 after 1300 ms: 2 ready, 0 draining
@@ -46,12 +47,13 @@
     seconds = counts.seconds
     assert (seconds[1]["told"], seconds[1]["call up"], seconds[1]["call full"]) == (2, 2, 1)
     assert [(seconds[s]["standing"], seconds[s]["pairs"]) for s in (1, 2, 3, 4)] == [
-        (2, 2),
         (2, 2),
         (2, 2),
         (1, 1),
+        (0, 0),
     ]
     assert (seconds[2]["moves"], seconds[3]["refused"], seconds[3]["list failed"]) == (1, 1, 1)
+    assert seconds[3]["mute"] == 1
     assert seconds[4]["end reset"] == 1
     assert counts.told == {3: [1.0, 1.4]}
     assert counts.servers["s-1"] == {"up": 2, "full": 1, "moved off": 1}
