--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -221,6 +221,7 @@
 SMALLER = 600 * SECOND  # a fleet that has been short for so long is a smaller fleet
 SHORT = 0.85  # of the weight that was ready: with less the fleet is short
 NEEDED = 0.7  # of what is left of the fleet: with less asked for it is not short
+STRAINED = 0.9  # of the fleet without a strike: with less, groups are kept together
 CROWD = 0.75  # of what a backend can carry by the quotas, while the fleet is short
 # A relay whose part of what a backend can carry is fewer connections than this cannot tell by its own how
 # many the backend holds: one more or less there, times the relays, is as much as there is room for.
@@ -438,7 +439,8 @@
         welcome = self._welcome(passed, allowed)
         if welcome is not None:
             return welcome
-        if job.group and (self.scarce or job.again):
+        strained = self.scarce or job.again or job.attempts > 0 or self._calm() < STRAINED
+        if job.group and strained:
             return self._gathered(job, passed, allowed, fresh)
         denied = 0
         for _ in range(HEAD_TRIES):
@@ -480,8 +482,9 @@
     ) -> Server | None:
         """The next down an order that is the same for all connections of a group, at every relay.
 
-        Guards against paying for every group at every backend: where the fleet is short or many come again at
-        once, that may take as much of what is left as the connections do. The weights are the ordinary ones.
+        Guards against paying for every group at every backend: where the fleet is short or sheds or many
+        come again at once, that may take as much of what is left as the connections do. The weights are the
+        ordinary ones.
         """
         order = sorted(self.ready, key=lambda s: math.log(_spot(job.group, s.id)) / s.share, reverse=True)
         denied = 0
@@ -731,7 +734,9 @@
         kept to what comes up in time, as TCP keeps its packets. The rest waits here, where it costs no work.
         First tries pass freely while nothing is late; those who come again may all come at once.
         """
-        if job.fresh and not self._jammed() and self.room >= min(1.0, self.usual):
+        # A part under one is for those who come again: where one backend failed the next is asked at once.
+        free = job.fresh or (self.room < 1.0 and not job.again and len(self.flying) < ROOM_MOST)
+        if free and not self._jammed() and self.room >= min(1.0, self.usual):
             return True
         gap = 0 if self.room >= 2.0 else max(LONE_GAP, int(self.took / self.room))
         return len(self.flying) < self.room and self.now - self.sent_at >= gap
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 from fleet import Fleet
-from helpers import SECOND, START, backends, relay
+from helpers import SECOND, START, ask, backends, ended, relay, sends
 
 from arrowseam import api
 
@@ -106,3 +107,34 @@
 
 def test_few_relays_have_as_many_set_ups_under_way_as_before() -> None:
     assert [relay(relays=n).room for n in (1, 4, 16, 200)] == [8.0, 8.0, 2.0, 0.16]
+
+
+def test_after_a_failed_attempt_groups_are_kept_together_over_all_relays() -> None:
+    """The next of a fresh draw was, at two hundred relays, one server more that pays for the group.
+
+    It is asked at once: a part of the set-ups under one must not hold back who has come for the first time.
+    """
+    firsts, seconds = Counter[int](), Counter[int]()
+    for n in range(200):
+        one = relay(backends(60), seed=n + 1, relay=n, relays=200, groups=True, tells_delay=False)
+        (send,) = sends(one.handle(START, [ask(1, group=7919)]))
+        (second,) = sends(one.handle(START + 10_000, [ended(send, api.Outcome.FULL)]))
+        firsts[send.backend] += 1
+        seconds[second.backend] += 1
+    assert len(firsts) > 40  # the ordinary path draws anew
+    assert max(seconds.values()) > 150
+
+
+def test_while_a_tenth_of_the_fleet_is_struck_first_tries_keep_groups_together_too() -> None:
+    places = {}
+    for struck in (3, 8):
+        places[struck] = Counter[int]()
+        for n in range(200):
+            one = relay(backends(60), seed=n + 1, relay=n, relays=200, groups=True, tells_delay=False)
+            one.handle(START, [])
+            for backend in range(150, 150 + struck):
+                one._strike(one.servers[backend])
+            (send,) = sends(one.handle(START + 2 * SECOND, [ask(1, group=7919)]))
+            places[struck][send.backend] += 1
+    assert len(places[3]) > 40
+    assert max(places[8].values()) > 150
