--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -270,8 +270,8 @@
         self.calm: float = 1.0  # share of the fleet without a strike
         self.prior = 0.0  # strikes of a backend of which nothing is known
         self.home_calm = 1.0  # the same of this relay's zone
-        # Set-ups that may be under way, now and at the start; what the last one took.
-        self.room = self.usual = min(ROOM_MOST, ROOM_START / settings.relays)
+        # Set-ups that may be under way; what the last one took.
+        self.room = min(ROOM_MOST, ROOM_START / settings.relays)
         self.took = settings.classes[0].aim // 2
         self.jammed_at = self.sent_at = -(1 << 62)
         self.calm_at = 0
@@ -439,8 +439,7 @@
         welcome = self._welcome(passed, allowed)
         if welcome is not None:
             return welcome
-        strained = self.scarce or job.again or job.attempts > 0 or self._calm() < STRAINED
-        if job.group and strained:
+        if job.group and (self.scarce or job.again or job.attempts or self._calm() < STRAINED):
             return self._gathered(job, passed, allowed, fresh)
         denied = 0
         for _ in range(HEAD_TRIES):
@@ -736,7 +735,7 @@
         """
         # A part under one is for those who come again: where one backend failed the next is asked at once.
         free = job.fresh or (self.room < 1.0 and not job.again and len(self.flying) < ROOM_MOST)
-        if free and not self._jammed() and self.room >= min(1.0, self.usual):
+        if free and not self._jammed() and self.room >= min(1.0, ROOM_START / self.settings.relays):
             return True
         gap = 0 if self.room >= 2.0 else max(LONE_GAP, int(self.took / self.room))
         return len(self.flying) < self.room and self.now - self.sent_at >= gap
