Serve a deployment that tells no loads: connections count, room goes by worth

On sockets the one word LOAD was taken for loads where servers tell none: it came once a second, from a third of the shortest aim on, in milliseconds. Change: such connections count as one; each server is asked now and then and what it tells, with what was sent there since, bends the order and thins it; claims by worth for load while the fleet is overfull; LOAD is read as the settings say; draining servers are left on every wire.

--- a/arrowseam/api.py
+++ b/arrowseam/api.py
@@ -132,6 +132,7 @@
     over_share_worth: float = 1.0
     report_fields: tuple[str, ...] = ()
     tick: int = 1_000
+    tells_load: bool = True  # servers tell the load of a connection (LoadNote)
     tells_delay: bool = True  # slow messages are told (DelayNote); False where the wire has no word for them
 
     def __post_init__(self) -> None:
--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -68,9 +68,9 @@
     """A backend as this relay knows it."""
 
     __slots__ = (
-        "awaited", "back_at", "cell", "entry", "held", "id", "leaves_at", "listed", "load", "lot", "open",
-        "probers", "reported", "reported_at", "share", "slow_at", "started", "state", "strikes", "struck_at",
-        "tokens", "tokens_at", "zone",
+        "asked_at", "awaited", "back_at", "cell", "entry", "held", "held_then", "id", "leaves_at", "listed",
+        "load", "lot", "open", "reported", "reported_at", "share", "slow_at", "started", "state", "strikes",
+        "struck_at", "tokens", "tokens_at", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.Backend) -> None:
@@ -80,9 +80,9 @@
         self.held = 0
         self.open: dict[int, None] = {}  # connections that stand, oldest first
         self.slow_at = -(1 << 62)  # last told that messages are too slow there
-        self.probers: list[Job] = []  # requests that wait for its probe
         self.reported = 0.0  # load asked over what it can do, by its last probe
-        self.reported_at = -(1 << 62)
+        self.reported_at = self.asked_at = -(1 << 62)
+        self.held_then = 0
         self.back_at = 0  # put back by hand: cold from then on, whatever the list knows of its start
         self.awaited = False  # put back and not sent anything since
         self.leaves_at = 0  # when it was first seen to drain with connections of this relay
@@ -119,8 +119,7 @@
 
     __slots__ = (
         "again", "answered", "attempts", "deadline", "errors", "fresh", "group", "id", "key", "limit",
-        "load", "looks", "mean", "open", "picks", "ran_at", "ran_on", "rule", "server", "tenant", "tried",
-        "up_at",
+        "load", "mean", "open", "ran_at", "ran_on", "rule", "server", "tenant", "tried", "up_at",
     )  # fmt: skip
 
     def __init__(
@@ -143,10 +142,10 @@
         self.answered = False
         self.ran_on: Server | None = None  # first attempt that may have run
         self.ran_at = 0
-        self.load = request.load if request.load > 0 else mean.load
+        # Where no load is ever told each connection counts as one: counted as none, all that goes by
+        # what this relay holds would be dead.
+        self.load = request.load if request.load > 0 else mean.load or 1.0
         self.fresh = not self.again  # and not looked at before
-        self.looks = 0  # rounds of probes sent for it
-        self.picks: list[Server] = []  # probed for it in the last round
 
 
 FAILED = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET)
@@ -157,7 +156,6 @@
 T_HELD = T_LIST + 1
 T_LEAVE = T_LIST + 2
 T_RECKON = T_LIST + 3
-T_PROBED = T_LIST << 1  # plus a request's id: its probes have had their time
 
 LARGE = 1000  # backends whose shares are reckoned in one go
 HEAD_TRIES = 12  # draws by rejection before the exact draw over all backends takes over
@@ -188,13 +186,14 @@
 # Of the connections it holds at an overfull backend a relay moves this share at each note (one a second):
 # the backend is back within its capacity in a few seconds, and no crowd leaves at once.
 MOVE_SHARE = 0.2
-# Where probes tell the load, a request has the head of the order and the next probed, and takes the one with
-# most room. Two choices in place of one is where most of the gain lies; more cost price and set-up time.
-PICKS = 2
-LOOKS = 3  # rounds of probes for a request before the order alone decides
+# Where probes tell the load each backend is asked now and then, as arrivals pay for it.
 PROBE_SPEND = 0.01  # points of the result that probes may cost a first try
-PROBE_LIFE = SECOND // 4  # a report is as good as a new one for this long
-ROOM = 0.9  # load over capacity up to which a backend takes more: messages slow down before the limit
+PROBE_GAP = 5 * SECOND // 2  # a backend is not asked again sooner
+REPORT_LIFE = 4 * SECOND  # for so long it counts as what was told
+# Load over capacity from which on a backend is turned away from, and at which it is sent nothing: messages
+# slow down before the limit, and a report is a second old.
+ROOM, FULL_UP = 0.7, 1.1
+REPORT_PART = 0.2  # of what a connection takes of a backend, by one report: backends and loads differ
 # A fleet that is slow everywhere carries more than it can: the relay cuts what it holds a little each second
 # and lets the limit grow again while messages are in time: fast while far from the load that was too much,
 # then slowly (as TCP CUBIC does, and for the same reason).
@@ -203,6 +202,8 @@
 GROWTH = 0.2  # a second, of the way back to the load that was too much
 PROBING = 0.03  # a second, of that load, besides
 LEAST = 0.25  # of that load: what is left shows whether messages are in time again
+VICTIMS = 8  # looked at for each that is cut: the one of least worth for its load goes
+CLAIM = 0.5  # of the limit, while it holds, is kept from those of least worth for their load
 SLOW_LIFE = 3 * SECOND // 2  # slow notes come once a second
 # What is known of a backend's load without being told: what this relay holds there, times the relays, beside
 # its share of what the fleet takes. Tenants' quotas add up to about this part of that; a group costs so many
@@ -286,7 +287,7 @@
         self.grown = self.grown_at = 0  # since when it has had more, and how much at least
         self.leave_due = False  # a timer to go on with moves is set
         self.probe_tokens = 0.0
-        self.probing: dict[int, Job] = {}  # requests that wait for probes
+        self.each = 0.0  # what a connection takes of a backend on average, as reports say
         self.subscribed = False
         self.asking = False
         self.list_failures = 0
@@ -314,6 +315,8 @@
         self.shortest_aim = min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0)
         fields = settings.report_fields
         self.report_field = fields.index("x0") if settings.limits.probing and "x0" in fields else -1
+        # Where no slow message is told, reports tell, and come less often.
+        self.slow_life = SLOW_LIFE if settings.tells_delay else REPORT_LIFE
         self.capacity = sum(t.connections for t in settings.tenants) / QUOTA_PART  # connections, all relays'
 
     def _on_retune(self, event: api.Retune) -> None:
@@ -340,17 +343,17 @@
             if handler is None:
                 raise api.UsageError(f"not an event: {event!r}")
             handler(event)  # type: ignore[operator]
-        if not self.settings.tells_delay:
-            if now - self.level_at >= SECOND:
-                self.level_at = now
-                self._leave()
+        if now - self.level_at >= SECOND:
+            self.level_at = now
+            self._leave()
+            if not self.settings.tells_delay:
                 if self.changed:
                     self._reweigh()
                 self._take_stock()
                 self._level()
-            if not self.leave_due and any(self._leaving(s) for s in self.serving.values()):
-                self.leave_due = True  # quiet connections bring no event that would do
-                self.out.append(api.WakeAt(SECOND, T_LEAVE))
+        if not self.leave_due and any(self._leaving(s) for s in self.serving.values()):
+            self.leave_due = True  # quiet connections bring no event that would do
+            self.out.append(api.WakeAt(SECOND, T_LEAVE))
         return self.out
 
     def _log(self, text: str) -> None:
@@ -522,20 +525,6 @@
                     return server
         return None
 
-    def _roomiest(self, job: Job) -> Server | None:
-        """Of those probed for a request, the one with most room; none if none has any."""
-        allowed = self._allowed(job)
-        picks = [s for s in job.picks if self._usable(s) and s not in job.tried]
-        picks = [s for s in picks if s.reported < ROOM and self.now - s.reported_at <= 2 * SECOND]
-        picks = [s for s in picks if allowed is None or s in allowed]
-        picks.sort(key=lambda s: s.reported)
-        return next((s for s in picks if self._afford(s, False)), None)
-
-    def _seen_full(self, job: Job) -> bool:
-        """All that was probed for a request has no room: waiting serves all better than overfilling."""
-        known = [s.reported for s in job.picks if self.now - s.reported_at <= 2 * SECOND]
-        return len(known) == len(job.picks) > 0 and min(known) >= ROOM
-
     def _allowed(self, job: Job) -> list[Server] | None:
         """Where a request may go that may have run already; None = anywhere."""
         first = job.ran_on
@@ -553,11 +542,16 @@
     # --- evidence about backends --------------------------------------------------------------------------
 
     def _excess(self, server: Server) -> float:
-        """How far this relay's load there is over the backend's share of all it holds, 0 to 1 and more.
+        """The chance to turn away from a backend, 0 to 1 and more, by what it told lately of its load.
 
-        Guards against the drift of long-lived connections: a draw that ignores what was placed before lets
-        some backends fill while shares look right. Within a connection's worth of the share it hardly acts.
+        Else by how far this relay's load there is over the backend's share of all it holds. Guards against
+        the drift of long-lived connections: a draw that ignores what was placed before lets some backends
+        fill while shares look right. Within a connection's worth of the share it hardly acts.
         """
+        if self.now - server.reported_at <= REPORT_LIFE:
+            # All relays read the same report: what this one has sent there since, the others have as well.
+            since = self.settings.relays * (server.held - server.held_then)
+            return (server.reported + since * self.each - ROOM) / (FULL_UP - ROOM)
         if not self.connections:
             return 0.0
         due = server.share / self.total * self.load
@@ -783,9 +777,11 @@
         first = not (event.returned or event.repeat)
         if first or self.rate_seen < RATE_SPAN:
             self._count_arrival(1.0 if first else 0.25)
-            earned = min(2.0 * LOOKS, PROBE_SPEND / max(self.settings.prices.probe, 1e-9))
-            self.probe_tokens = min(self.probe_tokens + earned, 10.0 * earned)
+            most = float(len(self.servers))
+            self.probe_tokens += min(most, PROBE_SPEND / max(self.settings.prices.probe, 1e-9))
+            self.probe_tokens = min(self.probe_tokens, 4.0 * most)
         self._place(job)
+        self._probe()
 
     def _job(self, request: api.Request) -> Job:
         rule, mean = request.rule, Mean()
@@ -847,12 +843,10 @@
             or (left < HURRY * aim and not job.fresh)
         ):
             return self._give_up(job)
-        if self._probe_first(job, left):
-            return None
         server = None
-        if self.load + job.load <= self._window() and self._unjammed(job):
-            overfull = self._seen_full(job) or (self.window < math.inf and self._slow() > 0.5)
-            server = self._roomiest(job) or (None if overfull else self._next(job))
+        if self.load + job.load <= self._claim(job) * self._window() and self._unjammed(job):
+            overfull = self.window < math.inf and self._slow() > 0.5
+            server = None if overfull else self._next(job)
         if server is None:
             margin = 2 * self.settings.tick  # a timer may come a tick late, and an answer must not
             # With all of the order tried there is nothing to wait for: the refusal goes out at once.
@@ -861,8 +855,6 @@
                 return self._give_up(job)
             # Nothing can be sent to just now (no list yet, or all is rationed): hold it and look again.
             self.held[job.id] = job
-            if self._seen_full(job):
-                job.looks = LOOKS - 1
             self.out.append(api.WakeAt(int(left - max(margin, HURRY * aim)) + 1, job.id))
             if not self.looking:
                 self.looking = True
@@ -967,7 +959,6 @@
     def _on_gone(self, event: api.ClientGone) -> None:
         job = self.jobs.pop(event.request, None)
         self.held.pop(event.request, None)
-        self.probing.pop(event.request, None)
         if job is not None:
             self._let_go(job)
 
@@ -1000,15 +991,19 @@
         if event.delay_ms * 1000 >= aim / 3:
             self._strike(server)
         if event.delay_ms * 1000 >= 0.6 * aim:
-            server.slow_at = self.now
-            if self._slow() <= 0.5:
-                self._thin(server)
-            elif self.now - self.cut_at >= CUT_GAP:
-                self._cut()
+            self._overfull(server, MOVE_SHARE)
+
+    def _overfull(self, server: Server, share: float) -> None:
+        """A backend carries more than it can: part of what is held there moves, if others have room."""
+        server.slow_at = self.now
+        if self._slow() <= 0.5:
+            self._thin(server, share)
+        elif self.now - self.cut_at >= CUT_GAP:
+            self._cut()
 
     def _slow(self) -> float:
         """The share of this relay's load on backends where messages are slow now."""
-        slow = sum(s.load for s in self.serving.values() if self.now - s.slow_at < SLOW_LIFE)
+        slow = sum(s.load for s in self.serving.values() if self.now - s.slow_at < self.slow_life)
         return slow / self.load if self.load > 0.0 else 0.0
 
     def _cut(self) -> None:
@@ -1024,11 +1019,11 @@
         if self.load >= 0.8 * self.window:
             self.window = max((1.0 - CUT) * self.window, LEAST * self.peak)
         self._log(f"overfull: messages slow on most backends; load held cut to {self.window:.0f}")
-        slow = [s for s in self.serving.values() if self.now - s.slow_at < SLOW_LIFE]
+        slow = [s for s in self.serving.values() if self.now - s.slow_at < self.slow_life]
         numbers = [n for s in slow for n in s.open]
         excess = self.load - self.window
         while excess > 0.0 and numbers:
-            picks = [int(self.random() * len(numbers)) for _ in range(2)]
+            picks = [int(self.random() * len(numbers)) for _ in range(VICTIMS)]
             pick = max(picks, key=lambda i: self._burden(numbers[i]))
             numbers[pick], numbers[-1] = numbers[-1], numbers[pick]
             job = self.jobs[numbers.pop()]
@@ -1049,6 +1044,20 @@
             self.window_at = self.now
         return self.window
 
+    def _claim(self, job: Job) -> float:
+        """The part of the limit up to which a request is let in, by its worth for the load it brings.
+
+        Guards against an overfull fleet that is filled with whoever asks first: what one connection of great
+        load and little worth takes would carry several others.
+        """
+        if self.window == math.inf or job.rule.worth <= 0.0:
+            return 1.0
+        known = [
+            (m.load or 1.0) / c.worth for m, c in zip(self.means, self.settings.classes) if c.worth > 0.0
+        ]
+        best = min(known, default=0.0)
+        return 1.0 - CLAIM * (1.0 - min(1.0, best * job.rule.worth / job.load))
+
     def _thin(self, server: Server, share: float = MOVE_SHARE, least: int = 0) -> None:
         """Move part of the connections this relay holds at an overfull backend."""
         leave = max(int(share * len(server.open) + self.random()), min(least, len(server.open)))
@@ -1193,57 +1202,37 @@
                 self.out.append(api.WakeAt(0, T_RECKON))
         elif event.token == T_HELD:
             self._on_look()
-        elif event.token >= T_PROBED:
-            waiting = self.probing.pop(event.token - T_PROBED, None)
-            if waiting is not None:
-                self._place(waiting)
         elif event.token in self.held:
             self._place(self.held.pop(event.token))
 
-    # --- moves, probes, peers -----------------------------------------------------------------------------
+    # --- probes -------------------------------------------------------------------------------------------
 
-    def _probe_first(self, job: Job, left: int) -> bool:
-        """Have the head of the order and the next probed, if that tells their load and time allows.
+    def _probe(self) -> None:
+        """Ask those backends whose report is oldest, as many as arrivals have paid for.
 
-        Guards against relays that each hold too few connections to know who is full: drawn by shares alone,
-        loads that differ overfill some backends while others have room.
+        A report is evidence about its backend, like a failure, and bends the order whichever it is. It does
+        not choose: two backends probed for each request were taken without regard to what groups cost.
         """
-        wait = 2 * self.settings.limits.connect_timeout // 3 + 2 * self.settings.tick
-        if self.report_field < 0 or not self.ready or job.looks >= LOOKS or left < 8 * wait:
-            return False
-        if job.looks and any(s.reported < ROOM for s in job.picks):
-            return False
-        job.looks += 1
-        job.picks = []
-        for _ in range(HEAD_TRIES):
-            server = self.ready[min(bisect(self.cumulative, self.random() * self.total), len(self.ready) - 1)]
-            if server not in job.picks and server not in job.tried and self._usable(server):
-                job.picks.append(server)
-                if len(job.picks) == PICKS:
-                    break
-        waits = False
-        for server in job.picks:
-            if self.now - server.reported_at > PROBE_LIFE and self.probe_tokens >= 1.0:
-                self.probe_tokens -= 1.0
-                if not server.probers:
-                    self.out.append(api.Probe(server.id))
-                server.probers.append(job)
-                waits = True
-        if not waits:
-            return self._probe_first(job, left)
-        self.probing[job.id] = job
-        self.out.append(api.WakeAt(wait, T_PROBED + job.id))
-        return True
+        if self.report_field < 0 or self.probe_tokens < 1.0:
+            return
+        due = [s for s in self.ready if self.now - s.asked_at >= PROBE_GAP and self._usable(s)]
+        due.sort(key=lambda s: s.asked_at)
+        for server in due[: int(self.probe_tokens)]:
+            self.probe_tokens -= 1.0
+            server.asked_at = self.now
+            self.out.append(api.Probe(server.id))
 
     def _on_probed(self, event: api.ProbeEnded) -> None:
         server = self.servers.get(event.backend)
         if server is None:
             return
-        probers, server.probers = server.probers, []
         field = self.report_field
         if event.outcome is Outcome.OK and 0 <= field < len(event.report) and event.report[field] >= 0.0:
-            server.reported, server.reported_at = event.report[field], self.now
-        for job in probers:
-            if job.id in self.probing and not any(job in s.probers for s in job.picks):
-                del self.probing[job.id]
-                self._place(job)
+            server.reported, server.reported_at, server.held_then = event.report[field], self.now, server.held
+            fields, held = self.settings.report_fields, float(self.settings.relays * server.held)
+            held = event.report[fields.index("inflight")] if "inflight" in fields else held
+            if not self.settings.tells_delay and server.reported >= 1.0 and server.open:
+                self._overfull(server, MOVE_SHARE)
+            if held >= 1.0:
+                each = server.reported / held
+                self.each += REPORT_PART * (each - self.each) if self.each else each
--- a/arrowseam/config/decode.py
+++ b/arrowseam/config/decode.py
@@ -131,6 +131,8 @@
             over_share_worth=number(doc, "over_share_worth", 1.0),
             report_fields=tuple(str(field) for field in rows(telemetry, "fields")),
             tick=whole(doc, "tick", 1000),
+            tells_load=bool(family.get("tells_load", True)),
+            tells_delay=bool(family.get("tells_delay", True)),
         )
     except (api.UsageError, ValueError, TypeError) as error:
         raise DecodeError(f"settings: {error}") from None
--- a/arrowseam/config/proxy.py
+++ b/arrowseam/config/proxy.py
@@ -69,8 +69,10 @@
         if not isinstance(doc, dict):
             raise DecodeError("configuration: not a JSON object")
         raw = table(doc, "settings")
-        # Neither wire of ours says that messages are slow at a server: the module must not wait to be told.
-        settings = replace(parse_settings(json.dumps(raw).encode()), tells_delay=False)
+        settings = parse_settings(json.dumps(raw).encode())
+        # One word, LOAD, for both notes: where servers tell loads, nobody could tell which it is, and the
+        # module must not wait to hear of slow messages.
+        settings = replace(settings, tells_delay=settings.tells_delay and not settings.tells_load)
         for lane in rows(raw, "lanes"):
             if whole(lane, "deadline") <= 0:
                 raise DecodeError(f"settings: the deadline of {lane.get('name')} must be a positive number")
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -296,10 +296,17 @@
             invocation.answers.clear()
             self._feed(api.ClientGone(invocation.number))
 
-    def load(self, invocation: Invocation, load: float) -> None:
-        if invocation.open and invocation.known and math.isfinite(load):
-            invocation.load = load
-            self._feed(api.LoadNote(invocation.number, invocation.attempt, invocation.backend, load))
+    def note(self, invocation: Invocation, level: float) -> None:
+        """What a server said of a connection: its load, or how many milliseconds a message takes there now,
+        whichever of these the servers of this deployment tell."""
+        if not (invocation.open and invocation.known and math.isfinite(level)):
+            return
+        place = (invocation.number, invocation.attempt, invocation.backend)
+        if self.settings.tells_load:
+            invocation.load = level
+            self._feed(api.LoadNote(*place, level))
+        elif self.settings.tells_delay:
+            self._feed(api.DelayNote(*place, level))
 
     def cordon(self, server: str, out: bool, at: int = 0) -> bool:
         """The operators take a server out, or put it back (at a time that another process tells); whether
--- a/arrowseam/proxy.py
+++ b/arrowseam/proxy.py
@@ -65,6 +65,13 @@
     return second
 
 
+def told(config: Config, second: nats.NatsConfig | None) -> Config:
+    """With NATS there are servers that never say that messages are slow: the module must not wait for it."""
+    if second is None:
+        return config
+    return replace(config, settings=replace(config.settings, tells_delay=False))
+
+
 def read(path: str, nats_path: str | None) -> tuple[Config, nats.NatsConfig | None]:
     """Both, where there is no operator file."""
     config = read_first(path)
@@ -103,6 +110,7 @@
     ) -> None:
         if config.directory and offer is not None and isinstance(offer.state.get("list"), dict):
             config = replace(config, known=offer.state["list"])
+        config = told(config, second)
         self.loop, self.config, self.offer = loop, config, offer
         facade = Facade(config, clock)
         self.relay = relay = Relay(loop, config, facade)
@@ -270,7 +278,7 @@
             self.nats_front.nats = replace(second, **{key: getattr(old, key) for key in fixed})
         renumbered = (config.zones, config.kinds) != (self.config.zones, self.config.kinds)
         # Each part reads its settings from these whenever it needs them; nothing keeps a copy.
-        config = replace(config, **{key: getattr(self.config, key) for key in stay})
+        config = replace(told(config, second), **{key: getattr(self.config, key) for key in stay})
         self.config = self.relay.config = self.front.config = self.directory.config = config
         if self.nats_front is not None:
             self.nats_front.config = config
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -328,8 +328,8 @@
         """From the moment it stands to its end."""
         while True:
             end = consumer.step()
-            for load in consumer.loads():
-                self.facade.load(invocation, load)
+            for level in consumer.loads():
+                self.facade.note(invocation, level)
             if end is not None:
                 if self.trace:
                     mute = consumer.mute_since()
--- /dev/null
+++ b/tests/test_two_deployments.py
@@ -0,0 +1,288 @@
+"""What one deployment tells and another does not: no loads, no quotas, no marks of retries.
+
+A rule that goes by what is never told must come out at the ordinary weighted order, not below it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+import pytest
+from helpers import SECOND, START, Clock, ask, backends, ended, full, relay, sends, settings
+from network import World
+
+from arrowseam import Balancer, api
+
+WORTH = (
+    api.RequestClass(aim=300_000, deadline=2 * SECOND, message_aim=100_000, worth=5.0),
+    api.RequestClass(aim=300_000, deadline=2 * SECOND, message_aim=100_000, worth=1.0),
+)
+
+
+def standing(clock: Clock, numbers: Iterable[int], backend: int, **fields: float) -> None:
+    for n in numbers:
+        klass = n % len(clock.balancer.settings.classes)
+        clock.step(api.Adopted(ask(n, klass=klass, **fields), backend))
+
+
+def slow_everywhere(clock: Clock) -> list[api.Action]:
+    out: list[api.Action] = []
+    for server in clock.balancer.servers.values():
+        out += clock.step(api.DelayNote(next(iter(server.open)), 0, server.id, 300.0))
+    return out
+
+
+def test_connections_of_unknown_load_count_as_one_each() -> None:
+    """Counted as none, nothing that goes by what this relay holds acted: it filled who was full."""
+    clock = Clock(relay(backends(2)))
+    standing(clock, range(40), 100)
+    sent = [s.backend for n in range(100, 130) for s in sends(clock.step(ask(n)))]
+    assert sent.count(101) >= 24
+
+
+@pytest.mark.parametrize("load", [0.0, 30.0])
+def test_a_surge_on_all_backends_is_cut_whether_loads_are_told_or_not(load: float) -> None:
+    """Corrib, overload: with no load told each slow note moved a fifth to another that was as slow."""
+    clock = Clock(relay(backends(4), classes=WORTH))
+    for backend in range(100, 104):
+        standing(clock, range(backend * 100, backend * 100 + 25), backend, load=load)
+    moved = [a for a in slow_everywhere(clock) if isinstance(a, api.Move)]
+    assert clock.balancer.window == pytest.approx(85.0 * (load or 1.0))
+    assert 15 <= len(moved) <= 30  # a fifth of the first two, then a cut of all
+    assert sum(clock.balancer.jobs[m.request].rule.worth == 1.0 for m in moved) >= 0.8 * len(moved)
+
+
+@pytest.mark.parametrize(
+    ("left", "klass", "load", "goes"),
+    [
+        pytest.param(70, 0, 1.0, True, id="worth most for its load: up to the limit"),
+        pytest.param(70, 1, 1.0, False, id="worth a fifth of that: not so near the limit"),
+        pytest.param(40, 1, 1.0, True, id="further below it, all are let in"),
+        pytest.param(70, 0, 9.0, False, id="of the first class and heavy: not so near it either"),
+    ],
+)
+def test_room_in_an_overfull_fleet_goes_to_who_is_worth_most_for_it(
+    left: int, klass: int, load: float, goes: bool
+) -> None:
+    clock = Clock(relay(backends(4), classes=WORTH))
+    for backend in range(100, 104):
+        standing(clock, range(backend * 100, backend * 100 + 25), backend, load=1.0)
+    slow_everywhere(clock)
+    limit = clock.balancer.window
+    for n in sorted(clock.balancer.jobs)[left:]:
+        clock.step(api.AttemptEnded(n, 0, n // 100, api.Outcome.CANCELLED, final=True))
+    for server in clock.balancer.servers.values():
+        server.slow_at, server.strikes = -(1 << 62), 0.0
+    clock.step(after=1)
+    assert clock.balancer.window < 1.1 * limit and clock.balancer.load == left
+    assert bool(sends(clock.step(ask(1, klass=klass, load=load)))) is goes
+
+
+def test_what_was_sent_since_a_report_counts_with_it() -> None:
+    """On sockets, five servers: whoever had room by the last report was sent all that a release set free."""
+    limits = api.Limits(max_attempts=3, connect_timeout=100_000, probing=True)
+    own = {"limits": limits, "report_fields": ("inflight", "x0"), "prices": api.Prices(probe=0.002)}
+    clock = Clock(relay(backends(2), relays=2, **own))
+    asked = [p.backend for p in clock.step(ask(1)) if isinstance(p, api.Probe)]
+    assert sorted(asked) == [100, 101]
+    told = {100: (4.0, 0.1), 101: (20.0, 0.8)}
+    clock.step(*(api.ProbeEnded(n, api.Outcome.OK, 1_000, told[n]) for n in asked))
+    sent = [s.backend for n in range(100, 140) for s in sends(clock.step(ask(n)))]
+    # Each takes about a thirtieth, and the other relay sends there as well: ten fill it, not forty.
+    assert 8 <= sent.count(100) <= 30 and len(sent) == 40
+
+
+@pytest.mark.parametrize(
+    ("tells", "load", "leave"), [(False, 1.2, True), (False, 0.9, False), (True, 1.2, False)]
+)
+def test_a_report_of_too_much_thins_where_slow_messages_are_not_told(
+    tells: bool, load: float, leave: bool
+) -> None:
+    limits = api.Limits(max_attempts=3, connect_timeout=100_000, probing=True)
+    clock = Clock(relay(backends(2), limits=limits, report_fields=("x0",), tells_delay=tells))
+    standing(clock, range(10, 50), 100)
+    standing(clock, range(50, 100), 101)
+    clock.step(ask(1))
+    out = clock.step(api.ProbeEnded(100, api.Outcome.OK, 1_000, (load,)))
+    moved = [a for a in out if isinstance(a, api.Move)]
+    assert bool(moved) is leave and len(moved) <= 9
+
+
+@pytest.mark.parametrize("tells", [False, True])
+def test_a_draining_backend_is_left_whether_slow_messages_are_told_or_not(tells: bool) -> None:
+    clock = Clock(relay(backends(3), tells_delay=tells))
+    standing(clock, range(10, 30), 100)
+    gone = replace(backends(1)[0], state=api.BackendState.DRAINING)
+    clock.step(api.BackendList(api.ListKind.CHANGES, 2, (gone,)))
+    moved = {a.request for _ in range(20) for a in clock.step(after=SECOND) if isinstance(a, api.Move)}
+    assert moved == set(range(10, 30))
+
+
+@pytest.mark.parametrize(
+    ("family", "load", "delay"),
+    [
+        pytest.param({}, True, False, id="nothing said"),
+        pytest.param({"tells_load": True, "tells_delay": True}, True, False, id="one word for both"),
+        pytest.param({"tells_load": False, "tells_delay": True}, False, True, id="only slow messages"),
+        pytest.param({"tells_load": False, "tells_delay": False}, False, False, id="neither"),
+    ],
+)
+def test_what_servers_say_of_a_connection_is_read_as_the_settings_say(
+    family: dict[str, bool], load: bool, delay: bool
+) -> None:
+    """Corrib on sockets: servers that tell no loads said LOAD 22.4 each second while messages were slow, in
+    milliseconds; taken for loads they spoilt every mean."""
+    world = World("lines", "up", family_info=family)
+    try:
+        own = world.config.settings
+        assert (own.tells_load, own.tells_delay) == (load, delay)
+        facade = world.relay.facade
+        facade.settings = own
+        heard: list[api.Event] = []
+        feed = facade._feed
+        facade._feed = lambda *events: (heard.extend(events), feed(*events))[1]
+        world.up()
+        world.servers[0].say(b"LOAD 125.5\r\n")
+        world.run(0.1)
+        notes = [e for e in heard if isinstance(e, (api.LoadNote, api.DelayNote))]
+        assert [isinstance(n, api.LoadNote) for n in notes] == [True] * load + [False] * delay
+        # With NATS beside it nobody may wait to be told.
+        assert not world.proxy.config.settings.tells_delay
+    finally:
+        world.close()
+
+
+# --- beside the plainest policy, many instances under one clock --------------------------------------------
+
+
+class Plain:
+    """The ordinary order and nothing else: each attempt a draw by weight, refused when they run out."""
+
+    def __init__(self, numbers: int, seed: int) -> None:
+        self.draw, self.numbers, self.attempts = random.Random(seed), numbers, {}
+
+    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
+        out: list[api.Action] = []
+        for event in events:
+            lost = isinstance(event, api.AttemptEnded) and not event.final
+            if isinstance(event, api.Request) or lost:
+                made = self.attempts[event.request] = self.attempts.get(event.request, 0) + 1
+                if made > 3:
+                    out.append(api.Refuse(event.request))
+                else:
+                    out.append(api.Send(event.request, 100 + self.draw.randrange(self.numbers)))
+        return out
+
+
+@dataclass
+class Held:
+    relay: int
+    backend: int
+    load: float
+    ends: int
+    up: bool = True
+
+
+class Crowd:
+    """Servers that hold connections of loads nobody is told; over 0.9 of what one can carry its messages are
+    slow, over all of it none is served, over 1.3 it drops the heaviest. Who is refused, dropped or moved
+    comes again unmarked after half a second."""
+
+    def __init__(self, relays: list[Balancer] | list[Plain], seed: int, servers: int, asked: float) -> None:
+        self.relays, self.rng, self.now = relays, random.Random(seed), START
+        self.carries = 40.0
+        self.servers = range(100, 100 + servers)
+        self.held: dict[int, Held] = {}
+        self.lives: dict[int, tuple[float, int]] = {}  # load and end of who asks
+        self.timers: list[tuple[int, int, int]] = []
+        self.coming: list[tuple[int, float, int]] = []
+        self.count, self.served, self.asked = 0, 0.0, 0.0
+        self.want = asked * self.carries * servers
+        for n in range(len(relays)):
+            self.hand(n, full(backends(servers)))
+        while sum(load for _, load, _ in self.coming) < self.want:
+            self.arrive(START + int(self.rng.random() * SECOND))
+
+    def arrive(self, at: int) -> None:
+        load, life = self.rng.lognormvariate(0.0, 1.0), int(self.rng.expovariate(1 / 45) * SECOND)
+        heapq.heappush(self.coming, (at, load, at + life))
+
+    def load(self, backend: int) -> float:
+        return sum(h.load for h in self.held.values() if h.backend == backend)
+
+    def hand(self, n: int, *events: api.Event) -> None:
+        for action in self.relays[n].handle(self.now, list(events)):
+            match action:
+                case api.WakeAt(delay, token):
+                    heapq.heappush(self.timers, (self.now + max(1, delay), n, token))
+                case api.Send(request, backend, _):
+                    load, ends = self.lives[request]
+                    if self.load(backend) > 1.3 * self.carries:
+                        self.hand(n, ended(action, api.Outcome.FULL))
+                    else:
+                        self.held[request] = Held(n, backend, load, ends)
+                        self.hand(n, api.Established(request, 0, backend, 10_000))
+                case api.Refuse(request) | api.Fail(request):
+                    load, ends = self.lives[request]
+                    heapq.heappush(self.coming, (self.now + SECOND // 2, load, ends))
+                case api.Move(request) if request in self.held:
+                    self.drop(request, api.Outcome.CANCELLED)
+
+    def drop(self, request: int, outcome: api.Outcome) -> None:
+        held = self.held.pop(request)
+        if held.ends > self.now:
+            heapq.heappush(self.coming, (self.now + SECOND // 2, held.load, held.ends))
+        self.hand(held.relay, api.AttemptEnded(request, 0, held.backend, outcome, 0, True))
+
+    def second(self) -> None:
+        end = self.now + SECOND
+        for _ in range(round(self.want / 1.65 / 45)):  # 1.65 is the mean load, 45 s the mean life
+            self.arrive(self.now + int(self.rng.random() * SECOND))
+        while min(self.timers[:1] + self.coming[:1], default=(end,))[0] < end:
+            if self.timers and (not self.coming or self.timers[0][0] <= self.coming[0][0]):
+                at, n, token = heapq.heappop(self.timers)
+                self.now = max(self.now, at)
+                self.hand(n, api.Timer(token))
+                continue
+            at, load, ends = heapq.heappop(self.coming)
+            self.now = max(self.now, at)
+            if ends > self.now:
+                self.count += 1
+                self.lives[self.count] = (load, ends)
+                self.hand(self.rng.randrange(len(self.relays)), ask(self.count))
+        self.now = end
+        for request in [r for r, h in self.held.items() if h.ends <= self.now]:
+            self.drop(request, api.Outcome.OK)
+        for backend in self.servers:
+            here = {r: h for r, h in self.held.items() if h.backend == backend}
+            load = sum(h.load for h in here.values())
+            self.served += load if load <= self.carries else 0.0
+            for request in sorted(here, key=lambda r: -here[r].load):
+                if load <= 1.3 * self.carries:
+                    break
+                load -= here[request].load
+                self.drop(request, api.Outcome.RESET)
+            if load > 0.9 * self.carries:
+                told = {h.relay: r for r, h in here.items() if r in self.held}
+                for n, request in told.items():
+                    self.hand(n, api.DelayNote(request, 0, backend, 90.0))
+        self.asked += self.want
+
+
+@pytest.mark.parametrize("asked", [0.6, 0.9, 1.3])
+def test_where_little_is_told_the_module_is_no_worse_than_a_plain_draw(asked: float) -> None:
+    """No quotas, no marks of retries, no loads, no hints: three relays, thirteen servers, three fleets."""
+    served = {"plain": 0.0, "module": 0.0}
+    for seed in range(3):
+        own = settings(classes=(api.RequestClass(aim=300_000, deadline=2 * SECOND, message_aim=100_000),))
+        module = [Balancer(own, seed=10 * seed + n) for n in range(3)]
+        plain = [Plain(13, 10 * seed + n) for n in range(3)]
+        for name, relays in (("module", module), ("plain", plain)):
+            crowd = Crowd(relays, seed, 13, asked)
+            for _ in range(40):
+                crowd.second()
+            served[name] += crowd.served / crowd.asked / 3
+    assert served["module"] >= served["plain"] - 0.01, served
