Fleet view: sockets, keeper, control, command; a rig of processes and a switchboard

Need: proxies that may talk should know each other, how many share a budget, and each other's cordons.

--- a/arrowseam/cli/__init__.py
+++ b/arrowseam/cli/__init__.py
@@ -74,7 +74,7 @@
         sys.exit(1)
     proxy.relay.trace = proxy.directory.trace = trace
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.on_signal(number, proxy.relay.drain)
+        loop.on_signal(number, proxy.drain)
     loop.on_signal(signal.SIGHUP, lambda: proxy.reload(path, nats_path, operator_path))
     name = config.name or os.getpid()
     log("process.started", f"arrowseam {__version__}: {name} listens on {config.listen}")
@@ -146,6 +146,19 @@
     sys.exit(operators.check(file, against, max_removed, max_bytes))
 
 
+@main.command("fleet")
+@click.option("--control", "addresses", envvar="EDGE_CONTROL", required=True, multiple=True,
+              help="HOST:PORT of a proxy's control; several are compared.")  # fmt: skip
+@click.option("--watch", is_flag=True, help="Again every second.")
+@click.option("--json", "as_json", is_flag=True, help="As control says it, a JSON object a line.")
+@click.option("--forget", metavar="MEMBER", help="Say that a member that is dead will not come back.")
+def fleet(addresses: tuple[str, ...], watch: bool, as_json: bool, forget: str | None) -> None:
+    """Print who is in the fleet, as running proxies see it. Exit status 3 where their views differ."""
+    from arrowseam.cli import fleet as command
+
+    sys.exit(command.show(addresses, watch, as_json, forget))
+
+
 @main.command("members")
 @click.option("--control", "address", envvar="EDGE_CONTROL", required=True, help="HOST:PORT of control.")
 @click.option("--sources", is_flag=True, help="The sources in place of the servers.")
--- a/arrowseam/config/operator.py
+++ b/arrowseam/config/operator.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from typing import Annotated, Any, Literal
 
@@ -75,10 +76,24 @@
     folder: Text
 
 
+class Fleet(Struct, frozen=True):
+    """The proxies keep a view of themselves; ``docs/operators/fleet-view.md``."""
+
+    listen: Text  # HOST:PORT for datagrams and streams, addresses only
+    advertise: str = ""  # where the others reach it, if not there
+    seeds: Annotated[tuple[Text, ...], Meta(max_length=64)] = ()  # members to begin with
+    name: Annotated[str, Meta(pattern=SOURCE_NAME)] = "fleet"  # members of another name are passed over
+    count: bool = True  # the module goes by the members that may be there, not by the configured number
+    period_ms: Annotated[int, Meta(ge=50, le=10_000)] = 300  # between two probes
+    timeout_ms: Annotated[int, Meta(ge=10, le=5_000)] = 100  # of a probe, before others are asked
+    forget_s: Annotated[int, Meta(ge=60, le=7 * 24 * 3600)] = 3600  # members that have ended
+
+
 class Operator(Struct, frozen=True):
     """All that an operator file sets up."""
 
     servers: tuple[Servers, ...] = ()
+    fleet: Fleet | None = None
     nats: Nats | None = None
     log: Log = Log()
     state_dir: str = ""
@@ -87,6 +102,7 @@
 FUNCTIONS: dict[str, type[Struct]] = {
     "servers": Servers,
     "nats": Nats,
+    "fleet": Fleet,
     "log": Log,
     "state_dir": StateDir,
 }
@@ -106,12 +122,19 @@
         reason, _, path = text.partition(" - at `$")
         field = path.rstrip("`").lstrip(".")
         raise BadCall(f"{field}: {reason}" if field else reason) from None
-    if isinstance(found, Nats):
+    if isinstance(found, Nats | Fleet):
         for key, where in _addresses(found):
             try:
-                parse_address(where)
+                host, port = parse_address(where)
+                if isinstance(found, Fleet) and not port:
+                    raise ValueError("a port is needed, not 0")
+                if isinstance(found, Fleet) and host != str(ipaddress.ip_address(host)):
+                    raise ValueError(f"not an address: {host!r}")
             except ValueError as error:
                 raise BadCall(f"{key}: {error}") from None
+    if isinstance(found, Fleet) and found.timeout_ms * 2 > found.period_ms:
+        raise BadCall(f"timeout_ms: at most half of period_ms, {found.period_ms}")
+    if isinstance(found, Nats):
         places = [(f"users.{user}", place) for user, place in found.users.items()]
         places += [(f"names.{name}", place) for name, place in found.names.items()]
         places += [("default", found.default)] if found.default else []
@@ -123,7 +146,11 @@
     return found
 
 
-def _addresses(found: Nats) -> list[tuple[str, str]]:
+def _addresses(found: Nats | Fleet) -> list[tuple[str, str]]:
+    if isinstance(found, Fleet):
+        rows = [("listen", found.listen), ("advertise", found.advertise)]
+        rows += [(f"seeds[{n}]", seed) for n, seed in enumerate(found.seeds)]
+        return [(key, text) for key, text in rows if text]
     own = [(key, getattr(found, key)) for key in ("listen", "health", "agent")]
     return [(key, text) for key, text in own if text] + [
         (f"servers.{name}", text) for name, text in found.servers.items()
--- a/arrowseam/config/script.py
+++ b/arrowseam/config/script.py
@@ -56,10 +56,11 @@
         except starlark.StarlarkError as error:
             raise ScriptError(plain(str(error), self.path.name)) from None
         log, state = self.once.get("log"), self.once.get("state_dir")
-        nats = self.once.get("nats")
+        nats, fleet = self.once.get("nats"), self.once.get("fleet")
         return operator.Operator(
             servers=tuple(self.servers),
             nats=nats if isinstance(nats, operator.Nats) else None,
+            fleet=fleet if isinstance(fleet, operator.Fleet) else None,
             log=log if isinstance(log, operator.Log) else operator.Log(),
             state_dir=state.folder if isinstance(state, operator.StateDir) else "",
         )
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -12,7 +12,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Generator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, TypeAlias
 
 from arrowseam import api
@@ -130,6 +130,9 @@
         self.count = 0
         self.timers: list[tuple[int, int]] = []
         self.next = Turn()
+        self.sharing: int | None = (
+            None  # proxies that share what the rules allow, where it isn't as configured
+        )
         self.slow: dict[int, tuple[int, bool]] = {}  # server -> when last noted, whether still slow
 
     # --- the module's side ---
@@ -329,7 +332,19 @@
         """New settings, for all that comes from now on."""
         kept = tuple(self.config.classes.get(name, -1) for name in config.classes)
         self.config, self.settings = config, config.settings
-        self._feed(api.Retune(config.settings, kept))
+        self._retune(kept)
+
+    def share(self, relays: int) -> None:
+        """So many proxies share what the rules allow them together, whatever the configuration says."""
+        if relays != self.sharing:
+            self.sharing = relays
+            self._retune(tuple(range(len(self.settings.classes))))
+
+    def _retune(self, kept: tuple[int, ...]) -> None:
+        settings = self.settings
+        if self.sharing is not None:
+            settings = replace(settings, relays=self.sharing, relay=min(settings.relay, self.sharing - 1))
+        self._feed(api.Retune(settings, kept))
 
     def know(self, server: str) -> None:
         """Give a server a number before any list has named it."""
--- a/arrowseam/fleet/size.py
+++ b/arrowseam/fleet/size.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 SLIVER = 4  # a proxy that is not met yet takes the share of one in so many times the fleet
-HOLD = 10_000_000  # microseconds: the number shrinks after it has been smaller for so long
+HOLD = 10_000_000  # microseconds: the number told is the largest of so long
 
 
 def wanted(configured: int, known: int, over: int, met: bool) -> int:
@@ -32,16 +33,19 @@
 
     def __init__(self, first: int) -> None:
         self.now = first
-        self.least: tuple[int, int] | None = None  # since when it could be smaller, and the most in that time
+        self.recent: deque[tuple[int, int]] = deque()  # (since when none was larger, number), falling
 
     def follow(self, at: int, number: int) -> int:
-        if number >= self.now:
-            self.now, self.least = number, None
-        elif self.least is None:
-            self.least = at, number
-        else:
-            since, most = self.least
-            self.least = since, max(most, number)
-            if at - since >= HOLD:
-                self.now, self.least = self.least[1], None
+        """The largest number there was in the last ``HOLD``."""
+        recent = self.recent
+        if not recent:
+            recent.append((at, self.now))
+        since = at
+        while recent and recent[-1][1] < number:
+            since = recent.pop()[0]
+        if not recent or recent[-1][1] > number:
+            recent.append((since, number))
+        while len(recent) > 1 and recent[1][0] <= at - HOLD:
+            recent.popleft()
+        self.now = recent[0][1]
         return self.now
--- a/arrowseam/fleet/view.py
+++ b/arrowseam/fleet/view.py
@@ -36,7 +36,8 @@
 QUIET = SECOND // 2  # views that differ are exchanged once nothing has changed here for so long
 EXCHANGE_GAP = SECOND
 RETRY_LEAST, RETRY_MOST, RETRY_LATE = SECOND // 2, 4 * SECOND, 30 * SECOND
-RETRIES = 4  # of the silent at a time
+NEXT = 10 * MS  # until the next probe, where one has found proof
+RETRIES = 4  # of the silent at a time, and of the others
 RETRY_PART = 8  # the dead are tried again after this part of the time since the latest death
 RETRY_YOUNG = 600 * SECOND  # and no seldomer than ``RETRY_MOST`` for so long
 FAREWELLS = 5  # members told directly by who leaves
@@ -140,6 +141,7 @@
         self.records: dict[str, Record] = {}  # of the others, by name
         self.since: dict[str, int] = {}  # when each was last said to be what it is
         self.infos: dict[str, tuple[Info, int]] = {}
+        self.digests: dict[str, tuple[int, int]] = {}  # what each said last of its view, and when
         self.cordons = Cordons()
         self.rumours = Rumours()
         self.ring: list[str] = []  # whom to probe, in a random order, each once a round
@@ -147,8 +149,8 @@
         self.probe: Probe | None = None
         self.relayed: dict[int, Relayed] = {}
         self.suspicions: dict[str, Suspicion] = {}
-        self.streams: dict[int, tuple[Life | None, Address]] = {}  # by token: who is knocked at, and where
-        self.empty: set[Address] = set()  # seeds that have refused and not been heard of since
+        self.streams: dict[int, Life | None] = {}  # by token: who is knocked at
+        self.met = False  # by all who may be there, in the life we live now
         self.acked: set[Life] = set()  # who has answered the life we live now
         self.floor = 0  # numbers before this one were sent in an earlier life
         self.rivals: set[int] = set()  # nonces that our name was met with
@@ -159,6 +161,7 @@
         self.changed_at = self.exchanged_at = -(1 << 62)
         self.buried_at = 0
         self.retry_due: int | None = None
+        self.probe_due = 0  # which timer of a probe is the one that counts
         self.timers: list[tuple[int, int, str, Any]] = []
         self.order = 0
         self.due: int | None = None  # when to be woken
@@ -188,24 +191,22 @@
         """Names whose last known life has ended for sure."""
         return sum(r.state in ENDED for r in self.records.values())
 
-    @property
-    def met(self) -> bool:
-        """Whether all who may be there have answered this life of ours: none of them counts us out.
+    def _meet(self) -> None:
+        """Whether all who may be there have answered this life of ours: then none of them counts us out, and
+        none can begin to, since whoever starts later hears of this life or of none.
 
-        Who is alone is met once all addresses it was told have refused: nobody is there.
+        Who has met fewer names than are configured may be on one side of a split whose other side has counted
+        it out before it started.
         """
-        if self.leaving:
-            return False
-        others = [r.who for r in self.records.values() if r.state not in ENDED]
-        if others or self.records:
-            return all(who in self.acked for who in others)
-        return all(seed in self.empty for seed in self.spec.seeds if seed != self.me.address)
+        if not self.met and not self.leaving and self.known >= self.spec.configured:
+            others = (r.who for r in self.records.values() if r.state not in ENDED)
+            self.met = all(who in self.acked for who in others)
 
     # --- events -------------------------------------------------------------------------------------------
 
     def start(self, now: int) -> list[Effect]:
         self._open(now)
-        self._arm(now + int(self.rnd.random() * self.spec.period), "probe")
+        self._probe_in(int(self.rnd.random() * self.spec.period))
         for seed in self.spec.seeds:
             if seed != self.me.address:
                 self._exchange(seed)
@@ -218,7 +219,7 @@
         while self.timers and self.timers[0][0] <= now:
             _, _, what, data = heapq.heappop(self.timers)
             match what:
-                case "probe":
+                case "probe" if data == self.probe_due:
                     self._probe_next()
                 case "indirect":
                     self._probe_others(data)
@@ -264,7 +265,7 @@
         """A stream of ours is over: ``ok`` with the frame that came, ``refused``, or ``silent``."""
         self._open(now)
         if token in self.streams:
-            self._ended(*self.streams.pop(token), how, data)
+            self._ended(self.streams.pop(token), how, data)
         return self._close()
 
     def cordon(self, now: int, wall_ms: int, server: str, out: bool) -> list[Effect]:
@@ -280,7 +281,7 @@
         """This process is about to end, on purpose."""
         self._open(now)
         if not self.leaving:
-            self.leaving = True
+            self.leaving, self.met = True, False
             self._become(turn=self.me.turn + 1, state=State.LEFT)
             here = [n for n in self.ring if self.records[n].here]
             for name in self.rnd.sample(here, min(FAREWELLS, len(here))):
@@ -305,6 +306,7 @@
             self._stalled(late)
 
     def _close(self) -> list[Effect]:
+        self._meet()
         self.due = self.timers[0][0] if self.timers else None
         return self.out
 
@@ -390,11 +392,12 @@
             self.figures["echoes"] += 1
             return None
         self._hear(m.sender)
-        self.empty.discard(m.sender.address)
         held = self.records.get(m.sender.name)
         counts = held is not None and held.who == m.sender.who and held.state not in ENDED
         if m.info is not None and counts:
             self.infos[m.sender.name] = m.info, self.now
+        if counts:
+            self.digests[m.sender.name] = m.digest, self.now
         for record in m.news:
             self._hear(record)
         self._take_cordons(m.cordons)
@@ -443,14 +446,13 @@
         self.exchanged_at = self.now
         self.figures["exchanges"] += 1
         token = self._next()
-        self.streams[token] = who, to
+        self.streams[token] = who
         self.out.append(Stream(token, to, codec.encode_stream(self._state())))
 
     def _whole(self, state: Whole) -> None:
         if state.sender.name == self.me.name and state.sender.nonce == self.me.nonce:
             return
         self._hear(state.sender)
-        self.empty.discard(state.sender.address)
         if state.info is not None:
             self.infos[state.sender.name] = state.info, self.now
         for record in state.records:
@@ -474,21 +476,23 @@
         record = target if isinstance(target, Record) else None
         to = target.address if isinstance(target, Record) else target
         token = self._next()
-        self.streams[token] = record.who if record is not None else None, to
+        self.streams[token] = record.who if record is not None else None
         first = record if record is not None and record.state is not State.ALIVE else None
         message = self._write(PING, token, first=first)
         self.figures["knocks"] += 1
         self.out.append(Stream(token, to, codec.encode_stream(message)))
 
-    def _ended(self, who: Life | None, to: Address, how: str, data: bytes) -> None:
+    def _ended(self, who: Life | None, how: str, data: bytes) -> None:
         record = self.records.get(who[0]) if who is not None else None
         if record is not None and record.who != who:
             record = None
         if how == "refused":
             if record is not None and record.state < State.GONE:
                 self._set(record.as_(State.GONE, self.me.name))
-            elif who is None:
-                self.empty.add(to)
+                if self.probe is not None and self.probe.target.who == who:
+                    # Found, and no fault of ours: on to the next at once, where many may have ended together.
+                    self.probe = None
+                    self._probe_in(NEXT)
             return
         if how != "ok":
             return
@@ -507,11 +511,15 @@
 
     # --- probing ------------------------------------------------------------------------------------------
 
+    def _probe_in(self, span: int) -> None:
+        self.probe_due = self._next()
+        self._arm(self.now + span, "probe", self.probe_due)
+
     def _probe_next(self) -> None:
         self._verdict()
         self.probe = None
         slow = 1 + self.health
-        self._arm(self.now + self.spec.period * slow, "probe")
+        self._probe_in(self.spec.period * slow)
         if self.leaving:
             return
         self._greet()
@@ -672,6 +680,7 @@
         self.members ^= mark_of(self.me)
         if self.me.who != old.who:
             self.acked.clear()
+            self.met = False
             self.floor = self._next()
         self.changed_at = self.now
         self.rumours.add(self.me)
@@ -689,6 +698,7 @@
         if known is not None and known.who != r.who:
             self.acked.discard(known.who)
             self.infos.pop(r.name, None)
+            self.digests.pop(r.name, None)
         self.rumours.add(r)
         if r.here and (known is None or not known.here):
             self.ring.insert(self.rnd.randrange(len(self.ring) + 1), r.name)
@@ -736,8 +746,8 @@
         rest: list[Record | Address] = [*(r for r in dead if r.state is State.GONE), *seeds]
         for record in self.rnd.sample(unproven, min(RETRIES, len(unproven))):
             self._knock(record)
-        if rest:
-            self._knock(self.rnd.choice(rest))
+        for other in self.rnd.sample(rest, min(RETRIES, len(rest))):
+            self._knock(other)
         age = self.now - self.buried_at
         most = RETRY_MOST if age < RETRY_YOUNG else RETRY_LATE
         self._retry_in(min(most, max(RETRY_LEAST, age // RETRY_PART)))
@@ -753,4 +763,5 @@
                 spare -= 1
                 del self.records[name], self.since[name]
                 self.infos.pop(name, None)
+                self.digests.pop(name, None)
                 self.rumours.drop(name)
--- /dev/null
+++ b/arrowseam/lab/rig.py
@@ -0,0 +1,239 @@
+"""Many real ``serve`` processes, a stand-in directory, and the switchboard between them.
+
+It owns the processes it starts and ends them by their id. It must never look into them: what it knows comes
+from their control, their logs and the stand-ins. A seed repeats which faults come when, not the timing of the
+machine.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+from arrowseam.lab.switchboard import Switchboard
+from arrowseam.net.loop import SECOND, Conn, Loop, Steps, clock
+
+ROOT = Path(__file__).resolve().parents[2]
+LANES = [
+    {"aim": 300000, "deadline": 1800000, "effect": "retryable", "name": "tech"},
+    {"aim": 300000, "deadline": 600000, "effect": "retryable", "name": "resident"},
+]
+RULES = {"cold_share": 0.12, "drain_grace": 2000000, "fall_multiple": 4.0, "overload_for": 2000000,
+         "warm_up": 24000000, "ask_within": 400000}  # fmt: skip
+CAPS = {"max_attempts": 5, "dial_timeout": 250000, "max_retry_after": 1500000, "retry_after": True}
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that are free for both kinds of sockets, below those that the system hands out by itself."""
+    found: list[int] = []
+    at = 10_000 + os.getpid() * 97 % 20_000
+    while len(found) < count:
+        at = 10_000 + (at - 9_999) % 22_000
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", at)):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+                udp.bind(("127.0.0.1", at))
+            found.append(at)
+    return found
+
+
+class Rig:
+    """Members ``n0`` to ``nN``. ``rows`` are the servers that the directory names; more operator settings may
+    be given as Starlark text."""
+
+    def __init__(
+        self, folder: Path, members: int, seed: int = 1, seeds: int = 3, more: str = "", nats: bool = False
+    ) -> None:
+        self.folder, self.loop = folder, Loop()
+        self.names = [f"n{n}" for n in range(members)]
+        self.board = Switchboard(self.loop, "rig", seed)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.rows: list[dict[str, Any]] = []
+        self.version, self.directory_up = 1, True
+        asked = self.loop.listen(("127.0.0.1", 0), "directory", self._directory).address[1]
+        ports = iter(free_ports(4 * members))
+        self.ports = {n: {k: next(ports) for k in ("front", "control", "fleet", "nats")} for n in self.names}
+        shown = {n: self.board.add(n, ("127.0.0.1", self.ports[n]["fleet"])) for n in self.names}
+        for index, name in enumerate(self.names):
+            ours = self.ports[name]
+            doc = {
+                "name": name, "listen": f"127.0.0.1:{ours['front']}",
+                "control": f"127.0.0.1:{ours['control']}",
+                "discovery": f"127.0.0.1:{asked}", "seed": f"{index + 1:x}", "limits": {"sockets": 1000},
+                "known": {"generation": 0, "reset": True, "instances": []},
+                "settings": {"balancers": members, "me": index, "caps": CAPS, "invariants": RULES,
+                             "lanes": LANES,
+                             "tenants": [{"name": "acme", "share": 1.0}], "kinds": ["k"], "zones": ["z"],
+                             "registry_mode": "subscribe"},
+            }  # fmt: skip
+            (folder / f"{name}.json").write_text(json.dumps(doc))
+            fleet = {
+                "name": "rig", "listen": f"127.0.0.1:{ours['fleet']}", "advertise": _text(shown[name]),
+                "seeds": [_text(shown[n]) for n in self.names[:seeds]],
+            }  # fmt: skip
+            lines = [f"fleet({', '.join(f'{k} = {json.dumps(v)}' for k, v in fleet.items())})", more]
+            if nats:
+                users = {u: {"class": u, "tenant": "acme"} for u in ("tech", "resident")}
+                lines.append(f"nats(listen = '127.0.0.1:{ours['nats']}', users = {json.dumps(users)}, "
+                             "servers = SERVERS)")  # fmt: skip
+            (folder / f"{name}.star").write_text("\n".join(lines))
+
+    # --- processes ---
+
+    def start(self, names: Iterable[str] | None = None) -> None:
+        for name in names if names is not None else self.names:
+            env = os.environ | {"TMPDIR": str(self._own(name)), "PYTHONPATH": str(ROOT)}
+            words = [sys.executable, "-m", "arrowseam", "serve"]
+            words += ["--config", str(self.folder / f"{name}.json")]
+            words += ["--operator", str(self.folder / f"{name}.star")]
+            with (self.folder / f"{name}.log").open("ab") as log:
+                self.processes[name] = subprocess.Popen(words, stdout=log, stderr=log, env=env, cwd=ROOT)
+            self.board.up(name)
+
+    def _own(self, name: str) -> Path:
+        folder = self.folder / f"tmp-{name}"
+        folder.mkdir(exist_ok=True)
+        return folder
+
+    def kill(self, names: Iterable[str]) -> None:
+        """At once, as a crash: the machine refuses what comes for the process from then on."""
+        names = list(names)
+        for name in names:
+            self.processes[name].kill()
+        for name in names:
+            self.processes.pop(name).wait()
+            self.board.down(name)
+
+    def terminate(self, name: str) -> subprocess.Popen[bytes]:
+        self.processes[name].send_signal(signal.SIGTERM)
+        return self.processes[name]
+
+    def ended(self, name: str) -> None:
+        """A process that was told to end has done so."""
+        self.processes.pop(name).wait()
+        self.board.down(name)
+
+    def stall(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.processes[name].send_signal(signal.SIGCONT)
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        for conn in list(self.loop.conns.values()):
+            if isinstance(conn, Conn):
+                conn.close()
+        for listener in self.loop.listeners:
+            listener.sock.close()
+        for sock in self.board.udp.values():
+            sock.close()
+        with contextlib.suppress(OSError):
+            self.loop.epoll.close()
+
+    # --- time ---
+
+    def until(self, condition: Callable[[], Any], seconds: float, step: float = 0.05) -> float:
+        """Run until it holds, looked at every ``step`` seconds; how long that took. Raises TimeoutError."""
+        began = time.monotonic()
+        turn, state = self.loop.turn, {"next": 0.0, "held": False}
+
+        def watched(now: int) -> int:
+            turn(now)
+            at = time.monotonic()
+            if at >= state["next"]:
+                state["held"] = bool(condition())
+                state["next"] = time.monotonic() + step
+            self.loop.stopped = bool(state["held"]) or at - began > seconds
+            return clock() + int(step * SECOND)
+
+        self.loop.turn, self.loop.stopped = watched, False
+        try:
+            self.loop.run()
+        finally:
+            self.loop.turn = turn
+        if not state["held"]:
+            raise TimeoutError(f"it did not come about in {seconds:g} s")
+        return time.monotonic() - began
+
+    def run(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        self.until(lambda: time.monotonic() >= end, seconds + 5)
+
+    # --- what the processes say ---
+
+    def call(self, name: str, words: str) -> list[str]:
+        """What control answers; nothing where nobody does. The rig stands still meanwhile, 2 s at most."""
+        try:
+            with socket.create_connection(("127.0.0.1", self.ports[name]["control"]), timeout=2) as sock:
+                sock.sendall(words.encode() + b"\n")
+                return sock.makefile("r", encoding="utf-8").read().splitlines()
+        except OSError:
+            return []
+
+    def view(self, name: str) -> list[dict[str, Any]]:
+        return [row for row in map(json.loads, self.call(name, "fleet")[:-1]) if "name" in row]
+
+    def cordons(self, name: str) -> list[str]:
+        rows = [json.loads(line) for line in self.call(name, "fleet")[:-1]]
+        return next((row["cordons"] for row in rows if "cordons" in row), [])
+
+    def figures(self, name: str) -> dict[str, int]:
+        found = (re.fullmatch(r"([\w.]+):(-?\d+)\|[cg]", line) for line in self.call(name, "counters"))
+        return {match[1]: int(match[2]) for match in found if match}
+
+    def agreed(self, names: Iterable[str] | None = None) -> bool:
+        """Whether each of these holds just these, alive, all with one digest."""
+        names = sorted(names if names is not None else self.processes)
+        digests = set()
+        for name in names:
+            rows = self.view(name)
+            if sorted(row["name"] for row in rows if row["state"] == "alive") != names:
+                return False
+            if any(row["state"] == "suspect" for row in rows):
+                return False
+            digests.add(rows[0]["digest"])
+        return len(digests) == 1
+
+    def told(self) -> dict[str, int]:
+        return {name: self.figures(name).get("edge.fleet.told", 0) for name in self.processes}
+
+    def log(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    # --- the directory ---
+
+    def tell(self, rows: list[dict[str, Any]]) -> None:
+        self.rows = rows
+        self.version += 1
+
+    def _directory(self, conn: Conn) -> Steps[None]:
+        while (line := (yield from conn.line(1000, clock() + 60 * SECOND))) is not None:
+            if not line.startswith(b"GET"):
+                continue
+            since = re.search(rb"since=(\d+)", line)
+            while (since and int(since[1]) >= self.version) or not self.directory_up:
+                if conn.left:
+                    return
+                yield clock() + 20_000
+            text = json.dumps({"generation": self.version, "reset": True, "instances": self.rows}).encode()
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text)
+            yield from conn.send(head + text, clock() + SECOND)
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/arrowseam/net/control.py
+++ b/arrowseam/net/control.py
@@ -9,6 +9,8 @@
     uncordon ID       server ID may serve again
     members           with an operator file: each server, a JSON object a line, then a line ``--``
     sources           the same of each source of servers
+    fleet             with fleet(...): each member, a JSON object a line, then a line ``--``
+    forget MEMBER     a member that is dead to this proxy will not come back: it takes no share any more
     allow SOURCE      the next version of that file may drop more than ``max_removed``, once
 """
 
@@ -16,7 +18,7 @@
 
 import json
 from collections.abc import Callable, Iterator
-from itertools import islice
+from itertools import chain, islice
 from typing import Any, Protocol
 
 from arrowseam.facade import Facade
@@ -43,7 +45,17 @@
     def allow(self, name: str) -> bool: ...
 
 
-def render(relay: Relay, sources: Sources | None = None) -> bytes:
+class Fleet(Protocol):
+    """What control asks of the view of the fleet."""
+
+    def counters(self) -> Iterator[str]: ...
+    def show(self) -> Iterator[dict[str, Any]]: ...
+    def show_cordons(self) -> list[str]: ...
+    def cordon(self, server: str, out: bool) -> None: ...
+    def forget(self, name: str) -> bool: ...
+
+
+def render(relay: Relay, sources: Sources | None = None, fleet: Fleet | None = None) -> bytes:
     """The figures as statsd writes them."""
     figures, facade = relay.figures, relay.facade
     # Classes of now and those that have been, each with all three from the start.
@@ -63,6 +75,8 @@
     ]
     if sources is not None:
         lines += sources.counters()
+    if fleet is not None:
+        lines += fleet.counters()
     return "".join(f"{line}\n" for line in [*lines, "--"]).encode()
 
 
@@ -70,6 +84,7 @@
     def __init__(self, loop: Loop, relay: Relay) -> None:
         self.loop, self.relay = loop, relay
         self.sources: Sources | None = None
+        self.fleet: Fleet | None = None
         self.waiting: dict[Conn, None] = {}  # callers that have not said a whole line, oldest first
         self.ready: Callable[[], bool] = lambda: True  # whether the process before us has let go
         # What a cordon must reach besides the module; told the server and whether it is out.
@@ -98,16 +113,20 @@
         if call is None:
             return  # half a call is none: an id that was cut may be another server's
         if call.split() == [b"members"] and self.sources is not None:
-            yield from self._members(conn, self.sources)
+            yield from self._rows(conn, self.sources.show_members())
+            return
+        if call.split() == [b"fleet"] and self.fleet is not None:
+            cordons = {"cordons": self.fleet.show_cordons()}
+            yield from self._rows(conn, chain(self.fleet.show(), [cordons]))
             return
         answer = self.answer(call)
         due = clock() + HEAR_WITHIN
         yield from conn.send(answer, due)
         yield from conn.part(due)
 
-    def _members(self, conn: Conn, sources: Sources) -> Steps[None]:
+    def _rows(self, conn: Conn, shown: Iterator[dict[str, Any]]) -> Steps[None]:
         """Some servers a round: there may be 10,000."""
-        shown, due = sources.show_members(), clock() + HEAR_WITHIN
+        due = clock() + HEAR_WITHIN
         while part := list(islice(shown, SLICE)):
             due = clock() + HEAR_WITHIN
             if not (yield from conn.send(b"".join(map(_line, part)), due)):
@@ -128,7 +147,7 @@
             case ["health"]:
                 return b"ACK\n" if self.serving else b"NAK not serving\n"
             case ["counters"]:
-                return render(self.relay, self.sources)
+                return render(self.relay, self.sources, self.fleet)
             case ["sources"] if self.sources is not None:
                 return b"".join(map(_line, self.sources.show_sources())) + b"--\n"
             case ["allow", source] if self.sources is not None:
@@ -141,6 +160,13 @@
                     return b"NAK unknown server\n"
                 log("control.cordon", f"control: {what} {server}", server=server, out=what == "cordon")
                 self.told(server, what == "cordon")
+                if self.fleet is not None:
+                    self.fleet.cordon(server, what == "cordon")
+                return b"ACK\n"
+            case ["forget", member] if self.fleet is not None:
+                if not self.fleet.forget(member):
+                    return b"NAK no such member that is dead\n"
+                log("control.forget", f"control: forget {member}", member=member)
                 return b"ACK\n"
         return b"NAK unknown call\n"
 
--- a/arrowseam/proxy.py
+++ b/arrowseam/proxy.py
@@ -23,7 +23,9 @@
 from arrowseam.relay import Consumer, Relay
 
 if TYPE_CHECKING:  # imported only where there is an operator file: they cost memory
+    from arrowseam.config.operator import Fleet as FleetSettings
     from arrowseam.config.operator import Operator
+    from arrowseam.fleet.keeper import Keeper
     from arrowseam.members.files import Members
 
 
@@ -139,6 +141,7 @@
             self.control.sources = self.members
             loop.kept += control.KEPT
             self.listen(parse_address(config.control), "control", self.control.serve, urgent=True)
+        self.let_go: Callable[[], bool] = lambda: True  # whether the process before us has
         self.again = False
         self.reloading: Task | None = None
         self.nats_front: nats.NatsFront | None = None
@@ -154,6 +157,9 @@
                     relay.listeners.append(self.listen(address, name, answer).close)
         if station is not None:
             self._share(station, offer)
+        self.keeper: Keeper | None = None
+        if operator is not None and operator.fleet is not None:
+            self._keep(operator.fleet)
 
     def listen(
         self, address: Address, name: str, serve: Callable[[Conn], Steps[None]], urgent: bool = False
@@ -162,6 +168,31 @@
         sock = self.offer.take(name, address) if self.offer is not None else None
         return Listener(self.loop, sock or open_listener(address), name, serve, urgent)
 
+    def _keep(self, fleet: FleetSettings | None) -> None:
+        """Begin to keep a view of the fleet, with other settings, or no more."""
+        if self.keeper is not None:
+            if self.keeper.fleet == fleet:
+                self.keeper.retuned(self.config)
+                return
+            self.keeper.leave()
+            self.keeper.stop()
+            self.keeper = None
+            if fleet is None:
+                self.relay.facade.share(self.config.settings.relays)
+        if fleet is not None:
+            from arrowseam.fleet.keeper import Keeper
+
+            ready = self.control.ready if self.control is not None else self.let_go
+            self.keeper = Keeper(self.loop, self.config, self.relay, fleet, ready)
+        if self.control is not None:
+            self.control.fleet = self.keeper
+
+    def drain(self) -> None:
+        """This process is to end: consumers and the fleet are told."""
+        self.relay.drain()
+        if self.keeper is not None:
+            self.keeper.leave()
+
     def _share(self, station: upgrade.Station, offer: upgrade.Offer | None) -> None:
         """Take up what the process before us left or hands over, and stand ready for the one after us."""
         facade, front, relay = self.relay.facade, self.front, self.relay
@@ -192,6 +223,8 @@
         def retire() -> None:
             log("upgrade.note", f"upgrade: the new process serves; {len(relay.live)} invocations go there")
             relay.give(give, lambda: handover.link is not None and bool(handover.link.out))
+            if self.keeper is not None:
+                self.keeper.stop()  # the new process goes on under this name
             relay.drain()
 
         handover.state = lambda: {
@@ -204,9 +237,10 @@
         handover.cordon, handover.opened, handover.retire = cordon, front.hear, retire
         handover.gone, handover.take = front.elsewhere.clear, take
         front.noted = handover.tell_id
+        self.let_go = lambda: handover.serving
         if self.control is not None:
             self.control.told = told
-            self.control.ready = lambda: handover.serving
+            self.control.ready = self.let_go
         if offer is None:
             for server in station.load():
                 cordon(server, True)
@@ -290,6 +324,7 @@
             if renumbered:
                 self.members.renumber()
             self.members.configure(operator)
+            self._keep(operator.fleet)
             use(operator.log.format, operator.log.level)
         self.loop.limit(config.sockets)
         self.directory.move(config.directory)
--- /dev/null
+++ b/tests/test_fleet_view.py
@@ -0,0 +1,485 @@
+"""The fleet's view without a socket: the order of words, the bytes, the number told, and whole fleets on a
+virtual clock under faults, judged by what came out."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from arrowseam.fleet import codec, size
+from arrowseam.fleet.cordons import Cordon, Cordons
+from arrowseam.fleet.records import Info, Record, State
+from arrowseam.fleet.rumours import Rumours
+from arrowseam.fleet.view import Send, Spec, Stream, View
+from arrowseam.lab import planted
+from arrowseam.lab.schedules import Player, Schedule, Step, draw, shrink
+from arrowseam.lab.virtual import MS, SECOND, Net
+
+
+def record(
+    name: str = "m0", life: int = 5, nonce: int = 1, turn: int = 0, state: State = State.ALIVE
+) -> Record:
+    return Record(name, life, nonce, turn, state, "127.0.0.1", 7000)
+
+
+# --- words ------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("holds", "over"),
+    [
+        (record(state=State.SUSPECT), record()),
+        (record(state=State.DEAD), record(state=State.SUSPECT)),
+        (record(state=State.GONE), record(state=State.DEAD)),
+        (record(turn=1), record(state=State.DEAD)),  # refuted
+        (record(life=6), record(turn=9, state=State.LEFT)),  # started again
+        (record(nonce=2), record(nonce=1)),
+    ],
+)
+def test_of_two_words_about_a_member_one_holds_whatever_the_order(holds: Record, over: Record) -> None:
+    for first, second in ((holds, over), (over, holds)):
+        view = View(record("us"), Spec(), random.Random(1))
+        view.start(0)
+        view._hear(first)
+        view._hear(second)
+        assert view.records["m0"].key == holds.key
+
+
+stamps = st.integers(0, 6)
+cordons = st.builds(
+    Cordon, st.just("s1"), stamps, st.sampled_from("ab"), stamps, st.sampled_from("ab"), st.sampled_from("ab")
+)
+
+
+@given(st.lists(cordons, max_size=6), st.randoms())
+def test_cordons_merge_alike_in_any_order_and_any_number_of_times(words: list[Cordon], rnd) -> None:
+    one, other = Cordons(), Cordons()
+    one.merge(words)
+    shuffled = words + [w for w in words if rnd.random() < 0.5]
+    rnd.shuffle(shuffled)
+    other.merge(shuffled)
+    assert one.held == other.held and one.digest == other.digest
+
+
+@pytest.mark.parametrize("ahead_ms", [-3_600_000, 0, 3_600_000])
+def test_a_cordon_is_lifted_only_by_who_knew_of_it(ahead_ms: int) -> None:
+    here, there = Cordons(), Cordons()
+    first = here.say("s1", True, "n0", 1_000_000_000)
+    assert first is not None and there.take(first) == first
+    again = there.say(
+        "s1", False, "n1", 1_000_000_000 + ahead_ms
+    )  # a clock that is wrong lifts it all the same
+    assert again is not None and not here.take(again).is_out
+    # Cut off from each other: one sets it anew, the other sets and lifts one of its own, later.
+    kept = here.say("s1", True, "n0", 1_000_000_010)
+    set_, lifted = there.say("s1", True, "n1", 1_000_000_020), there.say("s1", False, "n1", 1_000_000_030)
+    assert kept and set_ and lifted
+    here.take(lifted)
+    there.take(kept)
+    assert here.held == there.held
+    assert here.say("s1", True, "n0", 0) is None or here.out() == ["s1"]
+    assert here.say("s2", False, "n0", 1) is None  # nothing to lift
+
+
+def test_an_out_that_the_lifter_did_not_know_stays_out() -> None:
+    here, there = Cordons(), Cordons()
+    shared = here.say("s1", True, "n0", 1_000)
+    there.take(shared)
+    lifted = there.say("s1", False, "n1", 5_000)
+    assert here.say("s1", False, "n0", 6_000) and here.say("s1", True, "n0", 7_000)
+    here.take(lifted)
+    assert here.out() == ["s1"]
+
+
+# --- bytes ------------------------------------------------------------------------------------------------
+
+
+def message(**fields) -> codec.Datagram:
+    news = [record(f"m{n}") for n in range(5)]
+    base = codec.Datagram(
+        1, "fleet", codec.PING, 7, record("us"), 1 << 63, None, news, [Cordon("s1", 5, "us")]
+    )
+    return msgspec.structs.replace(base, **fields)
+
+
+def test_a_datagram_cut_at_every_byte_or_with_any_bit_turned_is_junk() -> None:
+    data = codec.encode(message(info=Info("0.1.0", "abc", "z", True, 4, 2, 12)))
+    assert codec.decode(data, "fleet").news[4].name == "m4"
+    for at in range(len(data)):
+        with pytest.raises(codec.Junk):
+            codec.decode(data[:at], "fleet")
+        for bit in range(8):
+            with pytest.raises(codec.Junk):
+                codec.decode(data[:at] + bytes([data[at] ^ 1 << bit]) + data[at + 1 :], "fleet")
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"", "not of this protocol"),
+        (b"GET / HTTP/1.1\r\n\r\n", "not of this protocol"),
+        (codec._sealed(b"\xff\xff"), "malformed"),
+        (codec._sealed(msgspec.msgpack.encode([1, "fleet", 1, -1])), "malformed"),
+        (codec.encode(message(fleet="another")), "another fleet"),
+        (codec._sealed(b"\x00" * 1500), "longer"),
+    ],
+)
+def test_what_is_not_ours_changes_nothing(data: bytes, reason: str) -> None:
+    with pytest.raises(codec.Junk, match=reason):
+        codec.decode(data, "fleet")
+    view = View(record("us"), Spec(), random.Random(1))
+    view.start(0)
+    assert view.datagram(1, data) == [] and not view.records
+    assert view.figures["junk"] + view.figures["foreign"] == 1
+
+
+def test_a_later_version_is_understood_as_far_as_it_goes() -> None:
+    body = msgspec.msgpack.decode(msgspec.msgpack.encode(message(version=2)))
+    body[4].append("a field of a record to come")
+    data = codec._sealed(msgspec.msgpack.encode([*body, "and one of the datagram"]))
+    assert codec.decode(data, "fleet").sender.name == "us"
+    view = View(record("other"), Spec(), random.Random(1))
+    view.start(0)
+    view.datagram(1, codec.encode(message(kind=99)))
+    assert view.figures["unknown"] == 1 and "us" in view.records
+
+
+@pytest.mark.parametrize("words", [3, 500])
+def test_news_keeps_within_a_datagram_and_the_new_goes_first(words: int) -> None:
+    view = View(record("us"), Spec(), random.Random(1))
+    view.start(0)
+    view._hear(record("to"))
+    for n in range(words):
+        view._hear(record(f"member-{n:03}", state=State.LEFT))
+    sent = [codec.decode(view._ping(view.records["to"]) and view.out[-1].data, "fleet") for _ in range(60)]
+    assert all(len(codec.encode(m)) <= codec.DATAGRAM_MAX for m in sent)
+    assert f"member-{words - 1:03}" in {r.name for r in sent[0].news}
+    assert len({r.name for m in sent for r in m.news}) >= min(words, 400)
+
+
+def test_a_rumour_is_passed_on_some_times_and_no_more() -> None:
+    rumours = Rumours()
+    rumours.add(record("old"))
+    for n in range(40):
+        rumours.add(record(f"m{n}"))
+    told = [r.name for _ in range(200) for r in rumours.take(48, 700)[0]]
+    assert not rumours.held and told.count("old") == 3 * 6
+
+
+# --- how many are told ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("configured", "known", "over", "met", "number"),
+    [
+        (4, 4, 0, True, 4), (4, 1, 0, False, 16), (4, 4, 1, True, 4), (10, 10, 7, True, 4),
+        (200, 200, 140, True, 73),
+        (4, 8, 0, True, 8), (1, 1, 0, True, 1), (2, 2, 1, True, 2), (3, 3, 3, True, 2),
+    ],
+)  # fmt: skip
+def test_the_number_told(configured: int, known: int, over: int, met: bool, number: int) -> None:
+    assert size.wanted(configured, known, over, met) == number
+
+
+@given(st.integers(1, 300), st.data())
+def test_shares_never_pass_one_whoever_has_counted_out_whom(whole: int, data) -> None:
+    """Those who are met take a share by what each has proof of; all others that may run have the sliver."""
+    most = data.draw(st.integers(0, whole - 1))
+    overs = [data.draw(st.integers(0, most)) for _ in range(min(6, whole - most))]
+    overs += [most] * (whole - most - len(overs))
+    met = sum(1 / size.wanted(whole, whole, over, True) for over in overs)
+    assert met + most / size.wanted(whole, whole, 0, False) <= 1 + 1e-9
+
+
+def test_the_number_grows_at_once_and_shrinks_slowly() -> None:
+    told = size.Told(12)
+    assert told.follow(0, 5) == 12 and told.follow(9 * SECOND, 7) == 12
+    assert told.follow(10 * SECOND, 5) == 7  # the most that was wanted in that time
+    assert told.follow(12 * SECOND, 6) == 7 and told.follow(20 * SECOND, 6) == 6
+    assert told.follow(20 * SECOND + 1, 40) == 40
+
+
+# --- hard cases on the virtual clock ----------------------------------------------------------------------
+
+
+def fleet(members: int = 5, seed: int = 1, **fields) -> Net:
+    net = Net(members, seed, **fields)
+    for name in net.names:
+        net.start(name)
+    assert net.until(net.agreed, 5 * SECOND) is not None
+    net.run(net.now + 12 * SECOND)
+    return net
+
+
+def settles(net: Net, within: int = 5 * SECOND) -> None:
+    assert net.until(net.agreed, within) is not None
+
+
+def events(net: Net, event: str) -> list[tuple[int, str, str]]:
+    return [(at, who, note.member) for at, who, note in net.notes if note.event == event]
+
+
+def test_one_that_hears_but_is_not_heard_is_neither_lost_nor_loses_the_others() -> None:
+    net = fleet(6)
+    net.cut = {("m0", name) for name in net.names[1:3]}  # m0 reaches some, not others
+    net.run(net.now + 15 * SECOND)
+    assert all(net.here(p) == set(net.names) for p in net.running.values())
+
+
+def test_who_stood_still_for_ten_seconds_doubts_itself_and_is_back_at_once() -> None:
+    net = fleet(8)
+    net.stall("m3", 10 * SECOND)
+    net.run(net.now + 9 * SECOND)
+    assert "m3" not in net.here(net.running["m0"])
+    before = len(net.notes)
+    net.run(net.now + 1 * SECOND)
+    settles(net, 3 * SECOND)
+    assert not [
+        n for _, who, n in net.notes[before:] if who == "m3" and n.event in ("member.dead", "member.gone")
+    ]
+
+
+def test_a_third_of_all_datagrams_lost_buries_nobody() -> None:
+    net = fleet(12, loss=0.3)
+    net.run(net.now + 60 * SECOND)
+    assert not events(net, "member.dead") and not events(net, "member.gone")
+
+
+@pytest.mark.parametrize("members", [2, 12])
+def test_half_killed_at_once_are_known_to_have_ended_and_take_no_share(members: int) -> None:
+    net = fleet(members)
+    for name in net.names[: members // 2]:
+        net.kill(name)
+    took = net.until(net.agreed, 5 * SECOND)
+    assert took is not None and took <= 3 * SECOND
+    net.run(net.now + 15 * SECOND)
+    most = size.wanted(members, members, members // 2, True)
+    assert {p.told.now for p in net.running.values()} == {most} and net.share <= 1 + 1e-9
+
+
+def test_all_started_again_within_a_second_meet_again() -> None:
+    net = fleet(12)
+    for n, name in enumerate(net.names):
+        net.at(net.now + n * 80 * MS, lambda name=name: net.start(name))
+    net.run(net.now + SECOND)
+    settles(net)
+
+
+def test_one_whose_addresses_to_begin_with_are_all_dead_is_found_by_those_that_knew_it() -> None:
+    net = fleet(6)
+    for name in ("m0", "m1", "m2", "m5"):  # the first three are everybody's seeds
+        net.kill(name)
+    net.run(net.now + 5 * SECOND)
+    net.start("m5")
+    settles(net)
+
+
+@pytest.mark.parametrize("skew", [-3600 * SECOND, 3600 * SECOND])
+def test_a_clock_that_jumps_does_not_lock_a_member_out(skew: int) -> None:
+    net = fleet(4)
+    net.skew["m1"] = skew
+    net.start("m1")
+    settles(net, 2 * SECOND)
+    assert net.running["m0"].view.records["m1"].nonce == net.running["m1"].view.me.nonce
+
+
+def test_a_late_copy_of_a_former_life_changes_nothing() -> None:
+    net = fleet(4)
+    old = codec.encode(net.running["m1"].view._write(codec.PING, 1))
+    for _ in range(3):
+        net.start("m1")
+        net.run(net.now + SECOND)
+    held = net.running["m0"].view.records["m1"]
+    net.running["m0"].view.datagram(net.now, old)
+    assert net.running["m0"].view.records["m1"] == held
+
+
+def test_two_strangers_of_one_name_are_told_apart_and_reported_once() -> None:
+    net = fleet(4)
+    net.names.append("m9")
+    net.start("m9")
+    net.running["m9"].view.me = replace_record(net.running["m9"].view.me, name="m1")
+    net.running["m9"].view.members = 0
+    net.running["m9"].view._become()
+    net.run(net.now + 10 * SECOND)
+    names = [p.view.me.name for p in net.running.values()]
+    assert len(set(names)) == 5 and len(events(net, "member.namesake")) == 1
+    assert {len(net.here(p)) for p in net.running.values()} == {5}
+
+
+def replace_record(r: Record, **fields) -> Record:
+    return msgspec.structs.replace(r, **fields)
+
+
+def test_leaving_is_told_from_dying() -> None:
+    net = fleet(5)
+    net.leave("m2")
+    net.run(net.now + 2 * SECOND)
+    assert {p.view.records["m2"].state for p in net.running.values()} == {State.LEFT}
+    assert not events(net, "member.suspect")
+
+
+def test_many_that_leave_at_once_are_known_to_have_left() -> None:
+    net = Net(60, 3)
+    for name in net.names:
+        net.start(name)
+    net.run(5 * SECOND)
+    for name in net.names[10:]:
+        net.leave(name)
+    net.run(net.now + 5 * SECOND)
+    assert all(net.here(p) == set(net.names[:10]) for p in net.running.values())
+
+
+def test_an_operator_has_the_last_word_about_who_is_silent() -> None:
+    net = fleet(4)
+    net.off.add("m3")
+    net.kill("m3")
+    settles(net, 8 * SECOND)
+    net.run(net.now + 20 * SECOND)
+    assert {p.told.now for p in net.running.values()} == {4}  # silence counts nobody out
+    view = net.running["m0"].view
+    assert view.forget(net.now, "m1") is False and view.forget(net.now, "m7") is False
+    net._do(net.running["m0"], view.forget(net.now, "m3"))
+    net.run(net.now + 15 * SECOND)
+    states = {p.view.records["m3"].state for p in net.running.values()}
+    assert states == {State.LEFT} and all(p.view.over == 1 for p in net.running.values())
+
+
+def test_a_member_that_has_ended_is_let_go_of_only_where_more_are_known_than_configured() -> None:
+    for configured, kept in ((4, True), (3, False)):
+        net = Net(4, 1, replace(Spec(), forget=20 * SECOND), configured=configured)
+        for name in net.names:
+            net.start(name)
+        net.run(3 * SECOND)
+        net.kill("m3")
+        net.run(net.now + 60 * SECOND)
+        assert ("m3" in net.running["m0"].view.records) is kept
+
+
+def test_a_fleet_at_rest_says_little_and_the_same_run_repeats_to_the_last_byte() -> None:
+    found = []
+    for _ in range(2):
+        net = fleet(24)
+        sent, size_, at = net.sent, net.bytes, net.now
+        net.run(at + 10 * SECOND)
+        found.append((net.sent, net.bytes))
+        assert (net.sent - sent) / 24 / 10 < 8 and (net.bytes - size_) / 24 / 10 < 600
+    assert found[0] == found[1]
+
+
+# --- schedules --------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_drawn_schedules(seed: int) -> None:
+    verdict = Player(draw(seed)).play()
+    assert verdict.broken == []
+
+
+def kill(*names: str, at: int = 0) -> list[Step]:
+    return [Step(at * SECOND, "kill", (name,)) for name in names]
+
+
+SPLIT = [Step(14 * SECOND, "part", ("m0", "m1"), 20 * SECOND)]
+FEW = Schedule(1, 4, [*kill("m2", "m3"), *SPLIT, *(Step(16 * SECOND, "start", (n,)) for n in ("m2", "m3"))])
+HALVES = Schedule(1, 6, [Step(0, "part", ("m0", "m1", "m2"), 25 * SECOND)])
+DARK = Schedule(1, 4, [Step(0, "dark", ("m1",))])
+BITES = [
+    (planted.NoRefutation, HALVES), (planted.TurnNotRaised, HALVES), (planted.DeadNeverRetried, HALVES),
+    (planted.SilentCountedOut, HALVES), (planted.SilenceIsProof, HALVES), (planted.AlwaysMet, FEW),
+    (planted.MetByFew, FEW), (planted.ClockBackLocksOut, draw(11)), (planted.CordonsNotExchanged, draw(1)),
+    (planted.NoExchange, draw(1)), (planted.DigestForgets, draw(0)), (planted.SuspicionNeverEnds, DARK),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("view", "schedule"), BITES, ids=[v.__name__ for v, _ in BITES])
+def test_the_referee_catches_a_planted_fault(view: type[View], schedule: Schedule) -> None:
+    assert Player(schedule).play().broken == []
+    assert Player(schedule, view=view).play().broken
+
+
+@pytest.mark.parametrize("number", planted.NUMBERS)
+def test_the_referee_catches_a_number_that_is_too_small(number) -> None:
+    assert Player(FEW).play().broken == []
+    assert any("shares" in text for text in Player(FEW, wanted=number).play().broken)
+
+
+def test_a_failing_schedule_is_cut_down_and_read_back() -> None:
+    found = Schedule(3, 6, [*draw(5).steps[:0], *HALVES.steps, Step(30 * SECOND, "stall", ("m1",), SECOND)])
+
+    def fails(schedule: Schedule) -> bool:
+        return bool(Player(schedule, view=planted.NoRefutation).play().broken)
+
+    small = shrink(Schedule.read(found.text()), fails)
+    assert fails(small) and len(small.steps) == 1
+
+
+class Faults(RuleBasedStateMachine):
+    """Any order of faults; what must hold is looked at after each."""
+
+    @initialize(seed=st.integers(0, 1 << 30), members=st.integers(2, 7))
+    def begin(self, seed: int, members: int) -> None:
+        self.net = Net(members, seed)
+        for name in self.net.names:
+            self.net.start(name)
+        self.net.run(2 * SECOND)
+
+    def pick(self, number: int) -> str:
+        return self.net.names[number % len(self.net.names)]
+
+    @rule(number=st.integers(0, 6))
+    def kill(self, number: int) -> None:
+        self.net.kill(self.pick(number))
+
+    @rule(number=st.integers(0, 6), skew=st.sampled_from([0, -3600, 3600]))
+    def start(self, number: int, skew: int) -> None:
+        self.net.skew[self.pick(number)] = skew * SECOND
+        self.net.start(self.pick(number))
+
+    @rule(number=st.integers(0, 6), span=st.sampled_from([300, 3_000, 12_000]))
+    def stall(self, number: int, span: int) -> None:
+        self.net.stall(self.pick(number), span * MS)
+
+    @rule(first=st.integers(1, 6))
+    def part(self, first: int) -> None:
+        self.net.part(self.net.names[:first], self.net.names[first:])
+
+    @precondition(lambda self: self.net.cut)
+    @rule()
+    def heal(self) -> None:
+        self.net.heal()
+
+    @rule(span=st.sampled_from([200, 2_000, 15_000]))
+    def wait(self, span: int) -> None:
+        self.net.run(self.net.now + span * MS)
+
+    @invariant()
+    def no_budget_is_passed(self) -> None:
+        if hasattr(self, "net"):
+            assert self.net.share <= 1 + 1e-9
+            for process in self.net.running.values():
+                assert process.told.now >= len(process.view.ring) * 0.7
+
+    def teardown(self) -> None:
+        if hasattr(self, "net"):
+            self.net.heal()
+            self.net.run(self.net.now + 12 * SECOND)
+            settles(self.net, 10 * SECOND)
+
+
+Faults.TestCase.settings = settings(max_examples=25, stateful_step_count=12, deadline=None, derandomize=True)
+TestFaults = Faults.TestCase
+
+
+def test_effects_carry_addresses_only_as_records_say_them() -> None:
+    net = fleet(3)
+    for process in net.running.values():
+        for effect in process.view.wake(net.now + SECOND):
+            if isinstance(effect, Send | Stream):
+                assert effect.to[0] in net.names
