--- a/arrowseam/cli/__init__.py
+++ b/arrowseam/cli/__init__.py
@@ -152,11 +152,11 @@
 @click.option("--watch", is_flag=True, help="Again every second.")
 @click.option("--json", "as_json", is_flag=True, help="As control says it, a JSON object a line.")
 @click.option("--forget", metavar="MEMBER", help="Say that a member that is dead will not come back.")
-def fleet(addresses: tuple[str, ...], watch: bool, as_json: bool, forget: str | None) -> None:
+def fleet_command(addresses: tuple[str, ...], watch: bool, as_json: bool, forget: str | None) -> None:
     """Print who is in the fleet, as running proxies see it. Exit status 3 where their views differ."""
-    from arrowseam.cli import fleet as command
+    from arrowseam.cli import fleet
 
-    sys.exit(command.show(addresses, watch, as_json, forget))
+    sys.exit(fleet.show(addresses, watch, as_json, forget))
 
 
 @main.command("members")
--- a/arrowseam/lab/rig.py
+++ b/arrowseam/lab/rig.py
@@ -60,9 +60,10 @@
         self.rows: list[dict[str, Any]] = []
         self.version, self.directory_up = 1, True
         asked = self.loop.listen(("127.0.0.1", 0), "directory", self._directory).address[1]
-        ports = iter(free_ports(4 * members))
+        ports = iter(free_ports(5 * members))
         self.ports = {n: {k: next(ports) for k in ("front", "control", "fleet", "nats")} for n in self.names}
-        shown = {n: self.board.add(n, ("127.0.0.1", self.ports[n]["fleet"])) for n in self.names}
+        real = {n: ("127.0.0.1", self.ports[n]["fleet"]) for n in self.names}
+        shown = {n: self.board.add(n, real[n], next(ports)) for n in self.names}
         for index, name in enumerate(self.names):
             ours = self.ports[name]
             doc = {
--- a/arrowseam/lab/switchboard.py
+++ b/arrowseam/lab/switchboard.py
@@ -45,10 +45,10 @@
         self.passed = self.lost = 0
         self.clock = loop.spawn(self._forward(), "switchboard")
 
-    def add(self, name: str, real: tuple[str, int]) -> tuple[str, int]:
+    def add(self, name: str, real: tuple[str, int], port: int) -> tuple[str, int]:
         """The address at which a member is advertised; streams there are refused until ``up``."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind(("127.0.0.1", 0))
+        sock.bind(("127.0.0.1", port))
         sock.setblocking(False)
         task = self.loop.spawn(self._datagrams(name, sock), f"to {name}")
         self.loop.conns[sock.fileno()] = task
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,279 @@
+"""Several processes of the program, faults between them, traffic on both fronts: judged by what came out."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from network import WORDS, Consumer, Server
+
+from arrowseam.config import operator
+from arrowseam.fleet import size
+from arrowseam.lab.rig import Rig
+from arrowseam.net.loop import MS, Steps, clock
+
+
+class Wire:
+    """What the stand-in servers and consumers of one wire want of a world."""
+
+    def __init__(self, rig: Rig, wire: str) -> None:
+        self.loop, self.wire, self.words = rig.loop, wire, WORDS[wire]
+        self.flying = self.most_flying = 0
+        self.address = ("", 0)
+
+
+class Town:
+    """A rig with servers behind it and clients that come all the time."""
+
+    def __init__(self, folder: Path, members: int, servers: int = 3) -> None:
+        self.rig = Rig(folder, members, more="", nats=True)
+        self.wires = {wire: Wire(self.rig, wire) for wire in WORDS}
+        self.servers = {w: [Server(self.wires[w], f"s{n}", "up") for n in range(servers)] for w in WORDS}
+        self.rig.tell([server.row for server in self.servers["lines"]])
+        places = {s.name: s.row["hostPort"] for s in self.servers["nats"]}
+        for path in folder.glob("*.star"):
+            path.write_text(path.read_text().replace("SERVERS", json.dumps(places)))
+        self.came: list[tuple[str, Consumer]] = []  # and by which proxy
+        self.shut: set[str] = set()  # proxies that clients are kept from
+        self.rnd, self.number = random.Random(1), 0
+
+    def crowd(self) -> Steps[None]:
+        while True:
+            open_ = [n for n in self.rig.processes if n not in self.shut]
+            if open_:
+                self.visit(self.rnd.choice(open_))
+            pause = clock() + 25 * MS
+            while clock() < pause:
+                yield pause
+
+    def visit(self, name: str) -> Consumer:
+        self.number += 1
+        wire = ("lines", "nats")[self.number % 2]
+        world = self.wires[wire]
+        world.address = ("127.0.0.1", self.rig.ports[name]["front" if wire == "lines" else "nats"])
+        consumer = Consumer(world, world.words["open"](self.number, b"tech"))
+        self.came.append((name, consumer))
+        return consumer
+
+    def harmed(self, spared: set[str]) -> list[tuple[str, bytes]]:
+        """Clients of proxies that no fault hit: those not served, or cut off without being told to move."""
+        return [
+            (name, bytes(c.got))
+            for name, c in self.came
+            if name not in spared and (not c.has("up") or (c.ended_at and not c.has("moved")))
+        ]
+
+    def close(self) -> None:
+        self.rig.close()
+
+
+@pytest.fixture
+def town(tmp_path: Path) -> Iterator:
+    made: list[Town] = []
+
+    def make(members: int) -> Town:
+        made.append(Town(tmp_path, members))
+        made[0].rig.start()
+        made[0].rig.until(lambda: made[0].rig.agreed(made[0].rig.names), 20)
+        return made[0]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def test_faults_between_twelve_processes_under_traffic(town) -> None:
+    """Dropped links, a split, a stall, crashes, a cordon that outlives who set it."""
+    t = town(12)
+    rig, names = t.rig, t.rig.names
+    rig.until(lambda: set(rig.told().values()) == {12}, 20)
+    rig.loop.spawn(t.crowd(), "crowd")
+
+    rig.board.part(["n0"], ["n1", "n2", "n3"], one_way=True)
+    rig.board.every(names[6:], loss=0.2, doubled=0.1, corrupted=0.05, spread=3 * MS)
+    rig.run(3)
+    assert not [n for n in names if "fleet: dead" in rig.log(n) or "fleet: gone" in rig.log(n)]
+    rig.board.heal()
+
+    one, other = names[:6], names[6:]
+    rig.board.part(one, other)
+    rig.until(lambda: rig.agreed(one) and rig.agreed(other), 15)
+    assert min(rig.told().values()) >= 12  # neither half acts as the whole fleet
+    rig.board.heal()
+    assert rig.until(rig.agreed, 8) < 6
+
+    t.shut = {"n3"}
+    rig.stall(["n3"])
+    rest = [n for n in names if n != "n3"]
+    rig.until(lambda: rig.agreed(rest), 10)
+    rig.resume(["n3"])
+    rig.until(rig.agreed, 5)
+    t.shut = {"n4", "n5", "n6"}
+
+    rig.kill(["n4", "n5"])
+    assert rig.until(lambda: rig.agreed([n for n in names if n not in ("n4", "n5")]), 8) < 5
+    states = {row["name"]: row["state"] for row in rig.view("n0")}
+    assert states["n4"] == states["n5"] == "gone"
+    rig.start(["n4", "n5"])
+    rig.until(rig.agreed, 8)
+
+    assert rig.call("n6", "cordon s0") == ["ACK"]
+    rig.until(lambda: all(rig.cordons(n) == ["s0"] for n in names), 2)
+    told = clock()
+    rig.kill(["n6"])
+    rig.until(lambda: rig.agreed([n for n in names if n != "n6"]), 8)
+    rig.start(["n6"])
+    rig.until(rig.agreed, 8)
+    rig.until(lambda: rig.cordons("n6") == ["s0"], 2)
+    rig.run(2)
+    sent = [at for wire in t.servers.values() for at in wire[0].opened_at]
+    assert max(sent) < told + 100 * MS
+    assert rig.call("n7", "uncordon s0") == ["ACK"]
+    rig.until(lambda: all(rig.cordons(n) == [] for n in names), 2)
+    rig.until(lambda: max(at for w in t.servers.values() for at in w[0].opened_at) > clock() - 5_000_000, 8)
+
+    rig.run(0.5)
+    rig.loop.stopped = True
+    came = [c for name, c in t.came if name not in ("n3", "n4", "n5", "n6")]
+    assert len(came) > 200
+    assert t.harmed({"n3", "n4", "n5", "n6"}) == []
+
+
+def test_who_ends_on_purpose_has_left_and_its_clients_are_told_to_move(town) -> None:
+    t = town(4)
+    rig = t.rig
+    held = [t.visit("n2") for _ in range(6)]
+    rig.until(lambda: all(c.has("up") for c in held), 5)
+    process = rig.terminate("n2")
+    rig.until(lambda: all(_state(rig, n, "n2") == "left" for n in ("n0", "n1", "n3")), 2)
+    rig.until(lambda: process.poll() is not None, 8)
+    rig.ended("n2")
+    assert all(c.has("moved") for c in held)
+    rig.until(lambda: set(rig.told().values()) == {size.wanted(4, 4, 1, True)}, 15)
+
+
+def _state(rig: Rig, at: str, member: str) -> str:
+    return next((row["state"] for row in rig.view(at) if row["name"] == member), "")
+
+
+def test_an_upgrade_and_a_reload_keep_the_member_one(town) -> None:
+    """Two processes of one proxy count as one, also across a split; the settings turn the view off and on."""
+    t = town(3)
+    rig = t.rig
+    held = [t.visit("n1") for _ in range(4)]
+    rig.until(lambda: all(c.has("up") for c in held), 5)
+    life = rig.view("n1")[0]["life"]
+    rig.board.part(["n1"], ["n0", "n2"])
+    old = rig.processes["n1"]
+    rig.start(["n1"])
+    rig.until(lambda: old.poll() is not None, 10)
+    rig.board.heal()
+    rig.until(rig.agreed, 10)
+    assert rig.view("n1")[0]["life"] > life
+    assert sorted(row["name"] for row in rig.view("n0")) == ["n0", "n1", "n2"]
+    assert not any(c.ended_at for c in held)
+
+    path = rig.folder / "n1.star"
+    text = path.read_text()
+    path.write_text("\n".join(line for line in text.splitlines() if not line.startswith("fleet(")))
+    rig.processes["n1"].send_signal(signal.SIGHUP)
+    rig.until(lambda: _state(rig, "n0", "n1") == "left", 5)
+    assert rig.call("n1", "fleet") == ["NAK unknown call"] and rig.call("n1", "health") == ["ACK"]
+    path.write_text(text)
+    rig.processes["n1"].send_signal(signal.SIGHUP)
+    rig.until(rig.agreed, 8)
+    assert not any(c.ended_at for c in held)
+
+
+def test_a_flood_of_junk_and_of_another_fleet_costs_little_and_changes_nothing(town) -> None:
+    t = town(3)
+    rig = t.rig
+    real = ("127.0.0.1", rig.ports["n1"]["fleet"])
+    before = rig.view("n1")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for n in range(3000):
+            sock.sendto((b"aF1" if n % 2 else b"") + bytes(n % 1500), real)
+    with contextlib.suppress(OSError), socket.create_connection(real, timeout=2) as sock:
+        sock.sendall(b"\xff\xff\xff\xff" + b"x" * 1000)
+        sock.recv(10)
+    rig.run(1)
+    served = t.visit("n1")
+    rig.until(lambda: served.has("up"), 2)
+    figures = rig.figures("n1")
+    assert figures["edge.fleet.junk"] > 100 and figures["edge.fleet.oversized"] == 1
+    assert rig.agreed() and [r["life"] for r in rig.view("n1")] == [r["life"] for r in before]
+
+
+def test_the_command_prints_the_members_and_who_differs(town) -> None:
+    t = town(3)
+    rig = t.rig
+
+    def command(*words: str) -> subprocess.CompletedProcess[str]:
+        line = [sys.executable, "-m", "arrowseam", "fleet", *words]
+        return subprocess.run(line, capture_output=True, text=True, timeout=20)
+
+    at = [f"--control=127.0.0.1:{rig.ports[n]['control']}" for n in rig.names]
+    good = command(*at)
+    assert good.returncode == 0 and good.stdout.count("alive") == 9 and "cordoned: none" in good.stdout
+    rows = [json.loads(line) for line in command(at[0], "--json").stdout.splitlines()]
+    assert [row["name"] for row in rows[:-1]] == ["n0", "n1", "n2"] and rows[-1]["cordons"] == []
+    assert {row["settings"] for row in rows[:-1]} == {rows[0]["settings"]} and rows[1]["version"]
+    rig.board.part(["n0"], ["n1", "n2"])
+    rig.until(lambda: rig.agreed(["n0"]) and rig.agreed(["n1", "n2"]), 10)
+    assert command(*at).returncode == 3
+    dead = command(at[0], "--forget", "n1")
+    assert dead.returncode == 0 and _state(rig, "n0", "n1") == "left"
+    assert command(at[0], "--forget", "n9").returncode == 1
+    rig.board.heal()
+    rig.until(rig.agreed, 8)  # the operator was wrong: it is back
+    assert command("--control=127.0.0.1:1").returncode == 1
+
+
+GOOD = {"listen": "127.0.0.1:7000", "seeds": ("127.0.0.1:7001",)}
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"listen": "127.0.0.1"}, "listen: not HOST:PORT"),
+        ({"listen": "127.0.0.1:0"}, "listen: a port is needed"),
+        ({"listen": "feed.example.org:7000"}, "listen: "),
+        ({"seeds": ("127.0.0.1:1", "n1:7000")}, r"seeds\[1\]: "),
+        ({"advertise": "::1:x"}, "advertise: "),
+        ({"name": "no spaces"}, "name: "),
+        ({"period_ms": 10}, "period_ms: "),
+        ({"timeout_ms": 200}, "timeout_ms: at most half of period_ms"),
+        ({"peers": 3}, "unknown field"),
+    ],
+)
+def test_a_bad_setting_is_refused_in_one_line_that_names_it(change, said: str) -> None:
+    assert isinstance(operator.typed("fleet", GOOD, [], []), operator.Fleet)
+    with pytest.raises(operator.BadCall, match=said):
+        operator.typed("fleet", GOOD | change, [], [])
+
+
+def test_nothing_of_it_is_imported_where_it_is_not_set_up() -> None:
+    code = (
+        "import sys, arrowseam.cli, arrowseam.proxy\n"
+        "print([m for m in sys.modules if m.startswith(('arrowseam.fleet', 'arrowseam.lab', 'msgspec')) "
+        "or m == 'arrowseam.net.peers'])"
+    )
+    ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=20)
+    assert ran.stdout.strip() == "[]", ran.stderr
+
+
+def test_the_name_of_a_host_is_never_looked_up() -> None:
+    from arrowseam.net import peers
+
+    began = time.monotonic()
+    assert not peers.numeric("n1.example.org") and peers.numeric("127.0.0.1") and peers.numeric("::1")
+    assert time.monotonic() - began < 0.1
