--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -33,6 +33,14 @@
 #     default = {"class": "resident-notices"},
 # )
 
+# Proxies that may talk to each other keep a view of themselves and share cordons; only where nobody else reaches the port.
+#
+# fleet(
+#     listen = "10.0.0.4:7000",
+#     seeds = ["10.0.0.4:7000", "10.0.0.5:7000"],
+#     name = "houston",
+# )
+
 # Lines for people, or JSON for machines.
 #
 # log(format = "json", level = "info")
