Fleet view: a stall is counted once; who left and comes back is looked for as well

Six: one that stood still and a member whose machine is off: SUSPECT for ever. Each datagram that had waited found the timer as late as the one before and put every suspicion off by the whole span (View._open). One: a member that had left began again with all its seeds dead, and nobody knocks at who has left (_retry). Two: the referee counted an uncordon said to a process that stood still. Change: lateness counts from the last event; who has left is knocked at too; such steps are passed over.

--- a/arrowseam/fleet/view.py
+++ b/arrowseam/fleet/view.py
@@ -157,6 +157,7 @@
         self.health = 0
         self.leaving = False
         self.number = 0
+        self.finished = 0  # of the others, those whose last known life has ended for sure
         self.members = mark_of(me)  # digest of who takes part
         self.changed_at = self.exchanged_at = -(1 << 62)
         self.buried_at = 0
@@ -189,7 +190,7 @@
     @property
     def over(self) -> int:
         """Names whose last known life has ended for sure."""
-        return sum(r.state in ENDED for r in self.records.values())
+        return self.finished
 
     def _meet(self) -> None:
         """Whether all who may be there have answered this life of ours: then none of them counts us out, and
@@ -300,7 +301,8 @@
     # --- the frame of each event --------------------------------------------------------------------------
 
     def _open(self, now: int) -> None:
-        late = now - self.due if self.due is not None else 0
+        # Counted once: what waited while we stood still comes all at one time, each an event of its own.
+        late = now - max(self.due, self.now) if self.due is not None else 0
         self.now, self.out = now, []
         if late > self.spec.period // 2 and self.spec.lifeguard:
             self._stalled(late)
@@ -537,6 +539,8 @@
 
     def _greet(self) -> None:
         """Just started: ask those who have not answered this life yet."""
+        if self.met:
+            return
         strange = [n for n in self.ring if self.records[n].who not in self.acked]
         for name in self.rnd.sample(strange, min(GREET, len(strange))):
             self._ping(self.records[name])
@@ -691,7 +695,9 @@
         self.records[r.name] = r
         if known is not None:
             self.members ^= mark_of(known)
+            self.finished -= known.state in ENDED
         self.members ^= mark_of(r)
+        self.finished += r.state in ENDED
         fresh = known is None or known.state != r.state or known.who != r.who
         if fresh:
             self.since[r.name] = self.now
@@ -711,8 +717,7 @@
             self._doubted(r)
         elif not r.here:
             self.buried_at = self.now
-            if r.state is not State.LEFT:
-                self._retry_in(RETRY_LEAST)
+            self._retry_in(RETRY_LEAST)
         if fresh:
             self.changed_at = self.now
             self.figures[r.state.name.lower()] += 1
@@ -736,14 +741,15 @@
         self._reap()
         if self.leaving:
             return
-        dead = [r for r in self.records.values() if r.state in (State.DEAD, State.GONE)]
+        # Also who has left: it may have started again where all that it was told to begin with are gone.
+        dead = [r for r in self.records.values() if not r.here]
         met = {r.address for r in self.records.values() if r.here} | {self.me.address}
         seeds = [seed for seed in self.spec.seeds if seed not in met]
         if not dead and not seeds:
             return
         # Those of whom nothing proves that they have ended first: they take room until then.
         unproven = [r for r in dead if r.state is State.DEAD]
-        rest: list[Record | Address] = [*(r for r in dead if r.state is State.GONE), *seeds]
+        rest: list[Record | Address] = [*(r for r in dead if r.state in ENDED), *seeds]
         for record in self.rnd.sample(unproven, min(RETRIES, len(unproven))):
             self._knock(record)
         for other in self.rnd.sample(rest, min(RETRIES, len(rest))):
@@ -761,6 +767,7 @@
                 return
             if r.state in ENDED and self.now - self.since[name] >= self.spec.forget:
                 spare -= 1
+                self.finished -= 1
                 del self.records[name], self.since[name]
                 self.infos.pop(name, None)
                 self.digests.pop(name, None)
--- a/arrowseam/lab/schedules.py
+++ b/arrowseam/lab/schedules.py
@@ -175,6 +175,8 @@
             case "double":
                 net.doubled = step.number
                 net.at(ends, lambda: setattr(net, "doubled", 0.0))
+            case "cordon" | "uncordon" if first in net.running and net.running[first].stalled_until > net.now:
+                pass  # nobody can say anything to it
             case "cordon" if first in net.running and step.server not in self.said:
                 self.said[step.server] = net.now, first
                 self.cordons[step.server] = "out"
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -246,6 +246,29 @@
     ]
 
 
+def test_who_stood_still_counts_that_once_and_buries_the_dead_all_the_same() -> None:
+    """Seed 1597 of the drawn schedules: each datagram that had waited put its suspicions off by the whole span."""
+    net = fleet(6)
+    net.off.add("m5")
+    net.kill("m5")
+    net.run(net.now + 600 * MS)
+    net.stall("m2", 10 * SECOND)
+    net.run(net.now + 10 * SECOND)
+    settles(net, 8 * SECOND)
+    assert net.running["m2"].view.figures["stalls"] == 1
+
+
+def test_who_left_and_started_again_is_found_though_its_addresses_to_begin_with_are_gone() -> None:
+    net = fleet(6)
+    net.leave("m5")
+    net.run(net.now + 2 * SECOND)
+    for name in ("m0", "m1", "m2"):
+        net.kill(name)
+    net.run(net.now + 5 * SECOND)
+    net.start("m5")
+    settles(net, 6 * SECOND)
+
+
 def test_a_third_of_all_datagrams_lost_buries_nobody() -> None:
     net = fleet(12, loss=0.3)
     net.run(net.now + 60 * SECOND)
