Fleet view: the referee tells two sides that never met; the last of 10,000 schedules

Seen: two of 10,000 schedules: the whole fleet began anew on both sides of a split, and all whom everybody was told of at the start ended before it healed. No protocol could join these: nobody has an address of the other side.

--- a/arrowseam/lab/schedules.py
+++ b/arrowseam/lab/schedules.py
@@ -96,6 +96,7 @@
     settled: int | None = None  # microseconds after the last fault
     share: float = 0.0
     messages: int = 0
+    strangers: bool = False  # two sides that never met, and none runs whose address both were given
 
 
 class Player:
@@ -187,6 +188,19 @@
                     self.said[step.server] = net.now, first
                     net.cordon(first, step.server, False)
 
+    def _can_meet(self) -> bool:
+        """Whether words can get from each running process to each: along names it knows and those it was given
+        at the start. Else nobody could know of the other side, whatever the protocol."""
+        running, seeds = self.net.running, {name for name, _ in self.net.spec.seeds}
+        reached, todo = set(list(running)[:1]), list(running)[:1]
+        while todo:
+            one = todo.pop()
+            ways = {n for n in running if n in running[one].view.records or n in seeds}
+            ways |= {n for n in running if one in running[n].view.records or one in seeds}
+            todo += ways - reached
+            reached |= ways
+        return reached == set(running)
+
     def _counted(self) -> bool:
         """Whether all that have ended are counted out."""
         return all(p.told.now <= self._number(p) for p in self._running())
@@ -229,6 +243,8 @@
         net.off &= self.dark
         end = net.now
         settled = net.until(net.agreed, 3 * SETTLE)
+        if settled is None and not self._can_meet():
+            return Verdict(list(self.broken), None, net.share, net.sent, strangers=True)
         if settled is None or settled > SETTLE_MOST:
             self._fault(f"views differ {SETTLE_MOST // SECOND} s after the last fault")
         if (settled or 3 * SETTLE) > HELD_DEAD:
