--- a/arrowseam/lab/schedules.py
+++ b/arrowseam/lab/schedules.py
@@ -189,7 +189,7 @@
                     net.cordon(first, step.server, False)
 
     def _can_meet(self) -> bool:
-        """Whether words can get from each running process to each: along names it knows and those it was given
+        """Whether words can get from each running process to each: along names it knows and those it was told
         at the start. Else nobody could know of the other side, whatever the protocol."""
         running, seeds = self.net.running, {name for name, _ in self.net.spec.seeds}
         reached, todo = set(list(running)[:1]), list(running)[:1]
