Fleet view: turned off, the configured number holds again, also at later reloads

Seen, reading the change: with fleet(...) taken out the last configured number stayed told as if the fleet said it, and a later SIGHUP with another one was passed over (Proxy._keep, Facade.sharing). Change: share(None) when a view ends. Result: a test that fails without it.

--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -334,8 +334,8 @@
         self.config, self.settings = config, config.settings
         self._retune(kept)
 
-    def share(self, relays: int) -> None:
-        """So many proxies share what the rules allow them together, whatever the configuration says."""
+    def share(self, relays: int | None) -> None:
+        """So many proxies share what the rules allow them together; None: as many as are configured."""
         if relays != self.sharing:
             self.sharing = relays
             self._retune(tuple(range(len(self.settings.classes))))
--- a/arrowseam/proxy.py
+++ b/arrowseam/proxy.py
@@ -177,8 +177,7 @@
             self.keeper.leave()
             self.keeper.stop()
             self.keeper = None
-            if fleet is None:
-                self.relay.facade.share(self.config.settings.relays)
+            self.relay.facade.share(None)
         if fleet is not None:
             from arrowseam.fleet.keeper import Keeper
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -74,6 +74,16 @@
     assert w.relay.config.longest_deadline == 1_800_000
 
 
+def test_what_the_fleet_says_of_its_number_stands_over_the_configured_one_until_it_says_no_more(world):
+    w = world("up")
+    facade = w.relay.facade
+    for share, configured, told in ((8, 1, 8), (8, 4, 8), (None, 4, 4), (None, 2, 2)):
+        facade.share(share)
+        own = replace(w.config, settings=replace(w.config.settings, relays=configured, relay=0))
+        facade.retune(own)
+        assert facade.balancer.settings.relays == told and facade.balancer.settings.relay < told
+
+
 @pytest.mark.parametrize(
     "path",
     [
