Fleet view: a test of the view that is turned off, which fails without the mend before

Need: the facade's test alone passed on the code before. Change: a proxy whose view begins, ends and is reloaded. Result: it fails on the wiring before and passes now.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -10,9 +10,11 @@
 import sys
 import time
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
+from network import World, free_port
 from town import Town
 
 from arrowseam.config import operator
@@ -183,6 +185,23 @@
     assert command("--control=127.0.0.1:1").returncode == 1
 
 
+def test_a_view_that_is_turned_off_leaves_the_configured_number_also_at_later_reloads() -> None:
+    """Its last number stayed told as if the fleet still said it."""
+    fleet = operator.Fleet(listen=f"127.0.0.1:{free_port()}")
+    world = World("lines", "up", operator=operator.Operator(fleet=fleet))
+    try:
+        module = world.relay.facade.balancer
+        assert module.settings.relays == size.SLIVER  # alone, and not met yet
+        world.until(lambda: module.settings.relays == 1, 5)
+        world.proxy._keep(None)
+        for relays in (1, 3):
+            own = replace(world.config, settings=replace(world.config.settings, relays=relays))
+            world.relay.facade.retune(own)
+            assert module.settings.relays == relays
+    finally:
+        world.close()
+
+
 GOOD = {"listen": "127.0.0.1:7000", "seeds": ("127.0.0.1:7001",)}
 
 
