Read again: dead code out, one name for a cordon's mark, a parameter nobody varied

Seen, reading the whole change: Relayed.answered, hlc.wall_ms, Net.lives and the times beside digests were read by nobody; _overfull's share was the same at both calls; a private name was imported elsewhere; each probe's answer copied a list of 256. Change: these out, a bounded deque.

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -991,13 +991,13 @@
         if event.delay_ms * 1000 >= aim / 3:
             self._strike(server)
         if event.delay_ms * 1000 >= 0.6 * aim:
-            self._overfull(server, MOVE_SHARE)
+            self._overfull(server)
 
-    def _overfull(self, server: Server, share: float) -> None:
+    def _overfull(self, server: Server) -> None:
         """A backend carries more than it can: part of what is held there moves, if others have room."""
         server.slow_at = self.now
         if self._slow() <= 0.5:
-            self._thin(server, share)
+            self._thin(server)
         elif self.now - self.cut_at >= CUT_GAP:
             self._cut()
 
@@ -1232,7 +1232,7 @@
             fields, held = self.settings.report_fields, float(self.settings.relays * server.held)
             held = event.report[fields.index("inflight")] if "inflight" in fields else held
             if not self.settings.tells_delay and server.reported >= 1.0 and server.open:
-                self._overfull(server, MOVE_SHARE)
+                self._overfull(server)
             if held >= 1.0:
                 each = server.reported / held
                 self.each += REPORT_PART * (each - self.each) if self.each else each
--- a/arrowseam/fleet/cordons.py
+++ b/arrowseam/fleet/cordons.py
@@ -74,8 +74,8 @@
             return None
         self.clock.seen(max(found.out, found.back))
         if known is not None:
-            self.digest ^= _mark(known)
-        self.digest ^= _mark(found)
+            self.digest ^= mark_of(known)
+        self.digest ^= mark_of(found)
         self.held[word.server] = found
         return found
 
@@ -83,5 +83,5 @@
         return [found for word in words if (found := self.take(word)) is not None]
 
 
-def _mark(cordon: Cordon) -> int:
+def mark_of(cordon: Cordon) -> int:
     return mark("cordon", cordon.server, cordon.out, cordon.out_by, cordon.back, cordon.back_of)
--- a/arrowseam/fleet/hlc.py
+++ b/arrowseam/fleet/hlc.py
@@ -18,7 +18,3 @@
 
     def seen(self, stamp: int) -> None:
         self.last = max(self.last, stamp)
-
-
-def wall_ms(stamp: int) -> int:
-    return stamp >> BITS
--- a/arrowseam/fleet/keeper.py
+++ b/arrowseam/fleet/keeper.py
@@ -215,8 +215,8 @@
     def _look(self, now: int) -> None:
         self.looked_at = now
         self.view.info = self._info(self.told.now)
-        trips, self.view.trips = self.view.trips, []
-        for trip in trips:
+        while self.view.trips:
+            trip = self.view.trips.popleft()
             self.trips[sum(trip > edge * MS for edge in BUCKETS_MS)] += 1
         self._follow()
 
@@ -239,8 +239,8 @@
         yield self._row(view.me, view.info, 0.0, 0.0, view.digest)
         for name, record in sorted(view.records.items()):
             info, at = view.infos.get(name, (None, now))
-            digest, _ = view.digests.get(name, (None, 0))
-            yield self._row(record, info, (now - view.since[name]) / SECOND, (now - at) / SECOND, digest)
+            since, heard = (now - view.since[name]) / SECOND, (now - at) / SECOND
+            yield self._row(record, info, since, heard, view.digests.get(name))
 
     def _row(
         self, record: Record, info: Info | None, since: float, heard: float, digest: int | None
--- a/arrowseam/fleet/view.py
+++ b/arrowseam/fleet/view.py
@@ -14,7 +14,7 @@
 import heapq
 import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeAlias
@@ -114,7 +114,6 @@
 
     asker: Record
     number: int
-    answered: bool = False
 
 
 @dataclass
@@ -141,7 +140,7 @@
         self.records: dict[str, Record] = {}  # of the others, by name
         self.since: dict[str, int] = {}  # when each was last said to be what it is
         self.infos: dict[str, tuple[Info, int]] = {}
-        self.digests: dict[str, tuple[int, int]] = {}  # what each said last of its view, and when
+        self.digests: dict[str, int] = {}  # what each said last of its view
         self.cordons = Cordons()
         self.rumours = Rumours()
         self.ring: list[str] = []  # whom to probe, in a random order, each once a round
@@ -169,7 +168,8 @@
         self.now = 0
         self.out: list[Effect] = []
         self.figures: Counter[str] = Counter()
-        self.trips: list[int] = []  # round trips of probes, microseconds, for whoever keeps a histogram
+        # Round trips of probes, microseconds, for whoever keeps a histogram.
+        self.trips: deque[int] = deque(maxlen=256)
 
     # --- what it says -------------------------------------------------------------------------------------
 
@@ -399,7 +399,7 @@
         if m.info is not None and counts:
             self.infos[m.sender.name] = m.info, self.now
         if counts:
-            self.digests[m.sender.name] = m.digest, self.now
+            self.digests[m.sender.name] = m.digest
         for record in m.news:
             self._hear(record)
         self._take_cordons(m.cordons)
@@ -561,7 +561,6 @@
     def _acked(self, m: Datagram) -> None:
         relayed = self.relayed.pop(m.number, None)
         if relayed is not None:
-            relayed.answered = True
             answer = self._write(ACK, relayed.number, about=m.sender)
             self._send(relayed.asker.address, answer)
         if m.about is not None:
@@ -572,7 +571,7 @@
         reached = m.about if m.about is not None else m.sender
         if probe is not None and reached.who == probe.target.who:
             if m.number == probe.number:
-                self.trips = [*self.trips[-255:], self.now - probe.sent]
+                self.trips.append(self.now - probe.sent)
             self.probe = None
             self._doubt(-1)
 
--- a/arrowseam/lab/planted.py
+++ b/arrowseam/lab/planted.py
@@ -11,6 +11,7 @@
 
 from arrowseam.fleet.codec import Datagram, Whole
 from arrowseam.fleet.cordons import Cordon
+from arrowseam.fleet.cordons import mark_of as cordon_mark
 from arrowseam.fleet.records import ENDED, Life, Record, State, mark_of
 from arrowseam.fleet.view import View
 
@@ -106,7 +107,7 @@
         for word in words:
             known = self.cordons.held.pop(word.server, None)
             if known is not None and known != word:
-                self.cordons.digest ^= _mark(known)
+                self.cordons.digest ^= cordon_mark(known)
             elif known is not None:
                 self.cordons.held[word.server] = known
                 continue
@@ -177,12 +178,6 @@
     return 4 * whole if not met else max(1, math.floor((whole - over) / (1.0 - over / (4 * whole))))
 
 
-def _mark(cordon: Cordon) -> int:
-    from arrowseam.fleet.cordons import _mark as mark
-
-    return mark(cordon)
-
-
 VIEWS: tuple[type[View], ...] = (
     NoRefutation, TurnNotRaised, DeadNeverRetried, SilentCountedOut, AlwaysMet, MetByFew, AckOfOtherLife,
     ClockBackLocksOut, LateDuplicateBelieved, CordonsNotExchanged, CordonsOverwritten, NoExchange,
--- a/arrowseam/lab/schedules.py
+++ b/arrowseam/lab/schedules.py
@@ -12,6 +12,8 @@
 from dataclasses import asdict, dataclass, field
 
 from arrowseam.fleet import size
+from arrowseam.fleet.cordons import mark_of as cordon_mark
+from arrowseam.fleet.records import mark_of
 from arrowseam.fleet.view import Spec, View
 from arrowseam.lab.virtual import MS, SECOND, Net, Process
 
@@ -272,14 +274,11 @@
 
 
 def _digest(view: View) -> int:
-    from arrowseam.fleet.cordons import _mark
-    from arrowseam.fleet.records import mark_of
-
     found = mark_of(view.me)
     for record in view.records.values():
         found ^= mark_of(record)
     for cordon in view.cordons.held.values():
-        found ^= _mark(cordon)
+        found ^= cordon_mark(cordon)
     return found
 
 
--- a/arrowseam/lab/virtual.py
+++ b/arrowseam/lab/virtual.py
@@ -8,7 +8,7 @@
 
 import heapq
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -261,7 +261,3 @@
             if any(records[name].state is not State.ALIVE for name in running - {process.name}):
                 return False
         return len({p.view.digest for p in self.running.values()}) <= 1
-
-    def lives(self) -> Iterator[Record]:
-        for process in self.running.values():
-            yield process.view.me
