--- /dev/null
+++ b/arrowseam/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The proxies' view of themselves: who is there, what is cordoned, how many share a budget."""
--- /dev/null
+++ b/arrowseam/fleet/codec.py
@@ -0,0 +1,116 @@
+"""The bytes of the fleet's datagrams and streams.
+
+It owns their form: a magic word, a checksum, MessagePack arrays. Fields that a later version adds at an
+array's end are passed over; what is not ours, or broken, is junk. It must never judge what a word says.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from arrowseam.fleet.cordons import Cordon
+from arrowseam.fleet.records import Info, Number, Record
+
+MAGIC = b"aF1"
+HEAD = len(MAGIC) + 4  # the magic word, a CRC-32 of the rest
+DATAGRAM_MAX = 1400
+STREAM_MAX = 4 << 20
+LENGTH = 4  # bytes before a stream's state that say how long it is
+VERSION = 1
+
+PING, ACK, ASK, NACK = 1, 2, 3, 4
+
+Fleet = Annotated[str, Meta(max_length=64)]
+Digest = int  # 64 bits; msgspec bounds no more than 63
+
+
+class Datagram(msgspec.Struct, array_like=True, frozen=True):
+    version: Annotated[int, Meta(ge=1)]
+    fleet: Fleet
+    kind: int  # unknown ones are counted and otherwise passed over
+    number: Number  # of the probe that it belongs to
+    sender: Record
+    digest: Digest  # of the sender's view
+    about: Record | None = None  # whom to ask, or who has answered
+    news: list[Record] = []
+    cordons: list[Cordon] = []
+    counted: bool = True  # in an answer: the sender counts whoever it answers
+    info: Info | None = None
+
+
+class Whole(msgspec.Struct, array_like=True, frozen=True):
+    """A whole state, as it goes over a stream."""
+
+    version: Annotated[int, Meta(ge=1)]
+    fleet: Fleet
+    sender: Record
+    records: list[Record]
+    cordons: list[Cordon]
+    info: Info | None = None
+
+
+class Junk(ValueError):
+    """Not a word of this fleet; the text is short and names the reason."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_datagram: msgspec.msgpack.Decoder[Datagram] = msgspec.msgpack.Decoder(Datagram)
+_whole: msgspec.msgpack.Decoder[Whole] = msgspec.msgpack.Decoder(Whole)
+
+
+def size(part: Record | Cordon) -> int:
+    """Bytes that it takes in a datagram."""
+    return len(_encoder.encode(part))
+
+
+def _sealed(body: bytes) -> bytes:
+    return MAGIC + zlib.crc32(body).to_bytes(4, "big") + body
+
+
+def _opened(data: bytes | memoryview) -> bytes:
+    if bytes(data[: len(MAGIC)]) != MAGIC:
+        raise Junk("not of this protocol")
+    body = bytes(data[HEAD:])
+    if zlib.crc32(body) != int.from_bytes(data[len(MAGIC) : HEAD], "big"):
+        raise Junk("cut or corrupted")
+    return body
+
+
+def encode(message: Datagram) -> bytes:
+    return _sealed(_encoder.encode(message))
+
+
+def decode(data: bytes, fleet: str) -> Datagram:
+    """Raises Junk."""
+    if len(data) > DATAGRAM_MAX:
+        raise Junk("longer than a datagram may be")
+    try:
+        found = _datagram.decode(_opened(data))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise Junk(f"malformed: {error}") from None
+    if found.fleet != fleet:
+        raise Junk("of another fleet")
+    return found
+
+
+def encode_stream(message: Datagram | Whole) -> bytes:
+    """One frame of a stream, with its length before it."""
+    kind = b"W" if isinstance(message, Whole) else b"D"
+    data = _sealed(kind + _encoder.encode(message))
+    return len(data).to_bytes(LENGTH, "big") + data
+
+
+def decode_stream(data: bytes, fleet: str) -> Datagram | Whole:
+    """A frame without its length; raises Junk."""
+    body = _opened(data)
+    try:
+        found = _whole.decode(body[1:]) if body[:1] == b"W" else _datagram.decode(body[1:])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise Junk(f"malformed: {error}") from None
+    if found.fleet != fleet:
+        raise Junk("of another fleet")
+    return found
--- a/benchmarks/standing.sh
+++ b/benchmarks/standing.sh
@@ -13,7 +13,7 @@
     local line
     line=$(grep -E '^GATE ' "$1" | tail -n 1)
     case "$line" in
-        "GATE passed") echo "standing test: passed"; return 0 ;;
+        "GATE passed" | "GATE passed ("*")") echo "standing test: passed"; return 0 ;;
         "GATE failed"*) echo "standing test: failed${line#GATE failed}"; return 1 ;;
         *) echo "standing test: no verdict in what was printed"; return 2 ;;
     esac
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -24,6 +24,7 @@
 
 CASES = [
     pytest.param(PASSED, 0, 0, "passed", id="passed"),
+    pytest.param("GATE passed (three of the six days)\n", 0, 0, "passed", id="passed, the quick days"),
     pytest.param(FAILED, 0, 1, "failed: drains kept, on roll+mass", id="failed, by the last word"),
     pytest.param(FAILED, 1, 1, "failed", id="failed, and the bench says so too"),
     pytest.param("playing calm+mass ...\n", 0, 2, "no verdict", id="stopped before its verdict"),
