--- /dev/null
+++ b/arrowseam/agree/keeper.py
@@ -0,0 +1,568 @@
+"""The agreement of one proxy on its loop: what it hears, says, stores and does.
+
+It owns the wiring. It must never decide who may be out (``agent.py`` and what it is made of do), nor hold up
+anything that serves: with all voters gone traffic goes on as before.
+"""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import json
+import random
+import secrets
+import subprocess
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+
+from arrowseam import __version__
+from arrowseam.agree import agent as agents
+from arrowseam.agree import codec, storage
+from arrowseam.agree.agent import Act, Agent, Answer, Check, Mark, Note, Out, Persist, Send, Spec
+from arrowseam.agree.book import (
+    BUNDLE_MAX,
+    Back,
+    Business,
+    Cancel,
+    Drain,
+    Plan,
+    Resume,
+    Return,
+    Start,
+    Undrain,
+    waves_of,
+)
+from arrowseam.agree.budgets import Thing
+from arrowseam.agree.codec import Whole, encoder
+from arrowseam.agree.gates import Counters
+from arrowseam.agree.raft import Role
+from arrowseam.agree.steward import Peer, Seen, Sight
+from arrowseam.api import BackendState
+from arrowseam.config.operator import Agree
+from arrowseam.fleet.keeper import Keeper
+from arrowseam.fleet.records import ENDED, State
+from arrowseam.logs import log
+from arrowseam.net.address import parse_address
+from arrowseam.net.loop import MS, SECOND, Loop, Steps, Task, clock
+from arrowseam.offload.child import Child, ChildEnded, environment
+from arrowseam.relay import Relay
+
+MARK = "!release-"  # what the view spreads of a halt, beside its cordons
+LOOK = 200 * MS  # between two looks at what is seen besides the log
+ANSWER_WITHIN = 5 * SECOND  # an operator hears by then that nothing could be agreed
+STORE_WITHIN = 10 * SECOND
+_whole: msgspec.msgpack.Decoder[Whole] = msgspec.msgpack.Decoder(Whole)
+
+
+def wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class Agreement:
+    """``change`` takes over a bundle of settings (empty: the own file) and says why not; ``check``
+    only looks; ``restart`` starts another process of this proxy."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        relay: Relay,
+        fleet: Keeper,
+        settings: Agree,
+        state_dir: str,
+        change: Callable[[bytes], str],
+        check: Callable[[bytes], str],
+        restart: Callable[[], str],
+        ready: Callable[[], bool],
+    ) -> None:
+        self.loop, self.relay, self.fleet, self.settings = loop, relay, fleet, settings
+        self.change, self.check, self.restart, self.ready = change, check, restart, ready
+        self.state_dir = state_dir
+        self.name = fleet.config.name
+        self.agent: Agent | None = None
+        self.addresses = {name: parse_address(text) for name, text in settings.voters.items()}
+        self.child: Child | None = None
+        self.writes: deque[Persist] = deque()
+        self.answers: dict[int, tuple[str, str]] = {}
+        self.waiting: dict[int, Task | None] = {}
+        self.figures: Counter[str] = Counter()
+        self.broken = ""
+        self.over = False
+        fleet.others, fleet.marked = self._heard, self._look
+        self.task = loop.spawn(self._run(), "agreement")
+        self.writer: Task | None = None
+
+    # --- its life -----------------------------------------------------------------------------------------
+
+    def _run(self) -> Steps[None]:
+        while not self.ready() or self.fleet.peers is None:
+            if self.over:
+                return
+            pause = clock() + 20 * MS
+            while clock() < pause:
+                yield pause
+        kept: Whole | None = None
+        votes = self.name in self.settings.voters
+        if votes and self.state_dir:
+            try:
+                kept = yield from self._load()
+            except (ChildEnded, OSError, ValueError) as error:
+                self.broken = str(error)
+                log("agree.broken", f"agree: the state is not taken, no vote from here: {error}", "error")
+                votes = False
+        if self.over:
+            return
+        voters = (
+            tuple(self.settings.voters)
+            if votes or self.name not in self.settings.voters
+            else tuple(name for name in self.settings.voters if name != self.name)
+        )
+        spec = Spec(fleet=self.fleet.fleet.name, voters=voters, budgets=self.settings.budgets)
+        rnd = random.Random(secrets.randbits(64))
+        self.agent = Agent(
+            self.name, self.fleet.view.me.life, secrets.randbits(62), spec, rnd, kept, "",
+            self.child is not None, self._standing,
+        )  # fmt: skip
+        self.agent.version = __version__
+        self._do(self.agent.start(clock(), wall_ms()))
+        looked = 0
+        while not self.over:
+            now = clock()
+            if now - looked >= LOOK:
+                looked = now
+                self._look()
+            if self.agent.due <= now:
+                self._do(self.agent.wake(now, wall_ms()))
+            yield min(self.agent.due, looked + LOOK)
+
+    def _load(self) -> Steps[Whole | None]:
+        """What an earlier process kept; raises ChildEnded, OSError or ValueError."""
+        path = storage.place(self.state_dir, self.name)
+        child = Child(self.loop, "arrowseam.agree.worker", argument=str(path))
+        self.child = child
+        yield from child.say(b"{}\n", clock() + STORE_WITHIN)
+        doc = json.loads((yield from child.hear(clock() + 3600 * SECOND)))
+        if "unfit" in doc:
+            child.close()
+            self.child = None
+            raise ValueError(doc["unfit"])
+        return _whole.decode(base64.b64decode(doc["whole"])) if doc["whole"] else None
+
+    def _write(self) -> Steps[None]:
+        """Have the child store what there is, in order."""
+        child, agent = self.child, self.agent
+        assert child is not None and agent is not None
+        try:
+            while not self.over:
+                if not self.writes:
+                    yield clock() + SECOND
+                    continue
+                some = list(self.writes)
+                self.writes.clear()
+                data = encoder.encode([record for persist in some for record in persist.what])
+                line = {"token": some[-1].token, "kept": base64.b64encode(data).decode()}
+                yield from child.say(json.dumps(line).encode() + b"\n", clock() + STORE_WITHIN)
+                doc = json.loads((yield from child.hear(clock() + STORE_WITHIN)))
+                if "failed" in doc:
+                    raise ChildEnded(doc["failed"])
+                if not self.over:
+                    self._do(agent.stored(clock(), wall_ms(), doc["stored"]))
+        except (ChildEnded, ValueError, KeyError) as error:
+            self.broken = str(error)
+            if not self.over:
+                self._do(agent.unstored(clock(), wall_ms(), str(error)))
+
+    def stop(self) -> None:
+        """Say and store nothing more."""
+        self.over = True
+        if self.child is not None:
+            self.child.leave()
+        self.fleet.others, self.fleet.marked = None, None
+        self.loop.wake(self.task)
+
+    def retuned(self, settings: Agree) -> None:
+        """The operator file says other budgets, or other voters."""
+        agent, old = self.agent, self.settings
+        self.settings = settings
+        self.addresses |= {name: parse_address(text) for name, text in settings.voters.items()}
+        if agent is None:
+            return
+        voters = tuple(settings.voters)
+        if agent.node is None and self.name in voters:
+            log("agree.waits", "agree: to be a voter takes a restart", "warning")
+            voters = tuple(name for name in voters if name != self.name)
+        agent.spec = replace(agent.spec, budgets=settings.budgets, voters=voters)
+        if agent.node is not None:
+            agent.node.names = voters
+        if old != settings:
+            log("agree.retuned", f"agree: {len(voters)} voters, budgets {settings.budgets}")
+
+    # --- what goes in and out -----------------------------------------------------------------------------
+
+    def _heard(self, data: bytes) -> bool:
+        """Whether it is one of ours."""
+        if data[: len(codec.MAGIC)] != codec.MAGIC:
+            return False
+        if self.agent is not None and not self.over:
+            try:
+                word = agents.decode(data, self.fleet.fleet.name)
+            except codec.Junk:
+                self.figures["junk"] += 1
+                return True
+            self.figures["messages_in"] += 1
+            self._do(self.agent.message(clock(), wall_ms(), word))
+        return True
+
+    def _do(self, effects: list[agents.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(to, word):
+                    self._send(to, word)
+                case Persist():
+                    self._persist(effect)
+                case Act():
+                    self.loop.spawn(self._act(effect), "permit")
+                case Check(digest, bundle):
+                    self.loop.spawn(self._check(digest, bundle), "bundle")
+                case Out(server, out):
+                    log(
+                        "agree.out",
+                        f"agree: {server} {'is out' if out else 'is back'}",
+                        server=server,
+                        out=out,
+                    )
+                    self.relay.facade.know(server)
+                    if out or server not in self.fleet.view.cordons.out():
+                        self.relay.facade.cordon(server, out)
+                case Mark(release):
+                    self.fleet.cordon(f"{MARK}{release}", True)
+                case Answer(number, text, refused):
+                    if number in self.waiting:
+                        self.answers[number] = text, refused
+                        self.loop.wake(self.waiting[number])
+                case Note(event, text, level):
+                    log(event, f"agree: {text}", level)
+        agent = self.agent
+        if agent is not None and (self.task.due is None or agent.due < self.task.due):
+            self.loop.wake(self.task)
+
+    def _send(self, to: str, word: agents.Word) -> None:
+        peers = self.fleet.peers
+        record = self.fleet.view.records.get(to)
+        address = self.addresses.get(to) or (record.address if record is not None else None)
+        if peers is None or address is None:
+            self.figures["unsent"] += 1
+            return
+        data = agents.encode(self.fleet.fleet.name, word)
+        self.figures["messages_out"] += 1
+        self.figures["bytes_out"] += len(data)
+        if len(data) <= codec.DATAGRAM_MAX:
+            peers.send(address, data)
+        else:
+            peers.stream(address, len(data).to_bytes(4, "big") + data, lambda how, answer: None)
+
+    def _persist(self, effect: Persist) -> None:
+        if self.child is None:
+            assert self.agent is not None
+            self._do(self.agent.stored(clock(), wall_ms(), effect.token))
+            return
+        self.writes.append(effect)
+        if self.writer is None:
+            self.writer = self.loop.spawn(self._write(), "agreement's state")
+        self.loop.wake(self.writer)
+
+    # --- what is seen -------------------------------------------------------------------------------------
+
+    def _look(self) -> None:
+        agent = self.agent
+        if agent is None or self.over:
+            return
+        now, wall = clock(), wall_ms()
+        serving = bool(self.relay.facade.listed) and not self.relay.draining and self.ready()
+        self._do(agent.tell(now, wall, serving=serving, counters=self._counters()))
+        agent.life = max(agent.life, self.fleet.view.me.life)
+        self._do(agent.observe(now, wall, self._sight()))
+
+    def _counters(self) -> Counters:
+        figures = self.relay.figures
+        total: Counter[str] = Counter()
+        for (_, how), count in figures.answers.items():
+            total[how] += count
+        return Counters(
+            total["success"] + total["overload"] + total["error"], total["error"], total["overload"],
+            figures.resets, self.relay.concurrent, figures.ups, figures.up_log,
+        )  # fmt: skip
+
+    def _sight(self) -> Sight:
+        view, now = self.fleet.view, clock()
+        proxies = {}
+        for record in (view.me, *view.records.values()):
+            info = view.info if record is view.me else view.infos.get(record.name, (None, now))[0]
+            here = record.here and not (info is not None and info.draining)
+            thing = Thing(record.name, info.zone if info is not None else "")
+            proxies[record.name] = Peer(thing, record.life, here, record.state in ENDED)
+        living = [r.name for r in view.records.values() if r.state is State.ALIVE]
+        agrees = all(view.digests.get(name, view.digest) == view.digest for name in living)
+        marks = {
+            int(name.removeprefix(MARK)): (cordon.out, cordon.out_by)
+            for name, cordon in view.cordons.held.items()
+            if name.startswith(MARK) and name.removeprefix(MARK).isdigit()
+        }
+        configured = self.fleet.config.settings.relays
+        return Sight(proxies, self._servers(), configured, agrees, marks)
+
+    def _servers(self) -> dict[str, Seen]:
+        facade, config = self.relay.facade, self.relay.config
+        zones = {n: name for name, n in config.zones.items()}
+        kinds = {n: name for name, n in config.kinds.items()}
+        by_hand = set(facade.cordoned) - (self.agent.outs if self.agent is not None else set())
+        by_hand |= set(self.fleet.view.cordons.out())
+        found = {}
+        for number, server in facade.balancer.servers.items():
+            name = facade.names[number]
+            entry = server.entry
+            thing = Thing(name, zones.get(entry.zone, ""), kinds.get(entry.kind, ""), entry.weight)
+            ready = server.state is BackendState.READY and name not in by_hand
+            found[name] = Seen(thing, ready)
+        return found
+
+    def _standing(self, server: str) -> int:
+        """Also what is under way there, and what the other process of an upgrade may hold."""
+        return self.relay.facade.held(server) + bool(self.loop.elsewhere)
+
+    # --- what a permit allows -----------------------------------------------------------------------------
+
+    def _act(self, act: Act) -> Steps[None]:
+        yield from self.loop.rest()
+        agent = self.agent
+        if agent is None or self.over:
+            return
+        log("release.begins", f"agree: permit {act.permit}: {act.kind} {act.target or 'own file'}")
+        if act.kind == "restart":
+            why = self.restart()
+            if why:
+                self._do(agent.acted(clock(), wall_ms(), act.permit, agent.digest, why))
+            return
+        why = self.change(act.bundle)
+        digest = agent.digest if why else act.target
+        self._do(agent.acted(clock(), wall_ms(), act.permit, digest, why))
+
+    def _check(self, digest: str, bundle: bytes) -> Steps[None]:
+        yield from self.loop.rest()
+        if self.agent is not None and not self.over:
+            self._do(self.agent.checked(clock(), wall_ms(), digest, self.check(bundle)))
+
+    # --- operators ----------------------------------------------------------------------------------------
+
+    def say(self, business: Business) -> Steps[tuple[bool, str]]:
+        """Have it agreed; whether it was, and what is to be said of it."""
+        agent = self.agent
+        if agent is None:
+            return False, "this proxy has not begun to agree"
+        number, effects = agent.command(clock(), wall_ms(), business)
+        self.waiting[number] = self.loop.current
+        try:
+            self._do(effects)
+            due = clock() + ANSWER_WITHIN
+            while number not in self.answers and clock() < due:
+                yield due
+            text, refused = self.answers.pop(number, ("", ""))
+            if text or refused:
+                return not refused, refused or text
+            leader = agent.leader_name or "none"
+            return (
+                False,
+                f"not agreed in {ANSWER_WITHIN // SECOND} s (leader: {leader}); it may still come about",
+            )
+        finally:
+            self.waiting.pop(number, None)
+            agent.drop(number)
+
+    def halt(self, number: int) -> str:
+        """At once, here, and as fast as the view spreads; what is to be said of it."""
+        agent = self.agent
+        if agent is None:
+            return "this proxy has not begun to agree"
+        self._do(agent.halt(clock(), wall_ms(), number))
+        self._look()
+        return ""
+
+    def order(self, words: list[str], body: bytes) -> Steps[tuple[bool, str]]:
+        """One line of control."""
+        agent = self.agent
+        by = f"control of {self.name}"
+        match words:
+            case ["drain", *servers] if servers:
+                seen = self._servers()
+                texts = []
+                for server in servers:
+                    if server not in seen:
+                        return False, f"unknown server {server}"
+                    good, text = yield from self.say(Drain(server=seen[server].thing, by=by))
+                    texts.append(text)
+                    if not good:
+                        return False, "; ".join(texts)
+                return True, "; ".join(texts)
+            case ["undrain", server]:
+                seen = self._servers()
+                if server in seen and not (seen[server].ready or server in self._planned()):
+                    return False, f"{server} is not listed as ready: undrain {server} off, to wait no longer"
+                return (yield from self.say(Undrain(server=server, by=by)))
+            case ["undrain", server, "off"]:
+                return (yield from self.say(Undrain(server=server, off=True, by=by)))
+            case ["release", "plan", kind, *options]:
+                return (yield from self._plan(kind, options, body, by))
+            case ["release", "start" | "resume" | "back" | "cancel" as what, *rest]:
+                number = self._number(rest)
+                if number is None or agent is None:
+                    return False, "no such release"
+                if what == "resume":
+                    stamp, who = agent.sight.marks.get(number, (0, ""))
+                    return (yield from self.say(Resume(release=number, stamp=stamp, stamp_by=who, by=by)))
+                kinds: dict[str, type[Start | Back | Cancel]] = {
+                    "start": Start,
+                    "back": Back,
+                    "cancel": Cancel,
+                }
+                return (yield from self.say(kinds[what](release=number, by=by)))
+            case ["release", "halt", *rest]:
+                number = self._number(rest)
+                if number is None:
+                    return False, "no such release"
+                why = self.halt(number)
+                return not why, why or f"release {number} is halted here; it spreads"
+            case ["agree", "off", name]:
+                permit = agent.book.permit_of("proxy", name) if agent is not None else None
+                if permit is None:
+                    return False, f"{name} is not out"
+                off = Return(permit=permit.id, how="written off", by=by)
+                return (yield from self.say(off))
+            case ["agree", "reset"]:
+                if agent is None:
+                    return False, "this proxy has not begun to agree"
+                why, effects = agent.reset(clock(), wall_ms())
+                self._do(effects)
+                return not why, why or f"a new history begins here with entry {agent.book.index}"
+        return False, "unknown call"
+
+    def holds(self, server: str) -> bool:
+        """Whether a server is out here by agreement."""
+        return self.agent is not None and server in self.agent.outs
+
+    def _planned(self) -> set[str]:
+        return set(self.agent.book.out("server")) if self.agent is not None else set()
+
+    def _number(self, rest: list[str]) -> int | None:
+        """The release that is named, or the one there is."""
+        if rest and rest[0].isdigit():
+            return int(rest[0])
+        release = self.agent.book.release if self.agent is not None else None
+        return release.id if release is not None and not rest else None
+
+    def _plan(self, kind: str, options: list[str], body: bytes, by: str) -> Steps[tuple[bool, str]]:
+        fields: dict[str, Any] = {}
+        by_zone, names = False, None
+        for option in options:
+            key, _, value = option.partition("=")
+            if key in ("soak_s", "patience_s", "alpha"):
+                with contextlib.suppress(ValueError):
+                    fields[key] = float(value)
+            elif key == "gated":
+                fields[key] = value != "0"
+            elif key == "by_zone":
+                by_zone = value != "0"
+            elif key == "names":
+                names = value.split(",")
+        if len(body) > BUNDLE_MAX:
+            return False, f"a bundle of more than {BUNDLE_MAX} bytes"
+        if kind == "settings":
+            why = self.check(body)
+            if why:
+                return False, why
+        sight = self._sight()
+        names = sorted(names or [n for n, peer in sight.proxies.items() if not peer.ended])
+        zones = {n: sight.proxies[n].thing.zone for n in names if n in sight.proxies}
+        waves = waves_of(names, zones if by_zone else None)
+        plan = Plan(kind=kind, bundle=body if kind == "settings" else b"", waves=waves, by=by, **fields)
+        return (yield from self.say(plan))
+
+    # --- what it tells ------------------------------------------------------------------------------------
+
+    def show(self) -> Iterator[dict[str, Any]]:
+        agent = self.agent
+        if agent is None:
+            yield {"name": self.name, "role": "not begun", "broken": self.broken}
+            return
+        node, book, steward = agent.node, agent.book, agent.steward
+        yield {
+            "name": self.name,
+            "role": node.role.value if node is not None else "follows",
+            "leader": agent.leader_name,
+            "term": node.term if node is not None else 0,
+            "reign": agent.reign.number,
+            "index": book.index,
+            "voters": [v.name for v in node.voters] if node is not None else [],
+            "wanted": list(agent.spec.voters),
+            "digest": agent.digest,
+            "waits_for": steward.why if steward is not None else "",
+            "broken": self.broken,
+        }
+        for name, said in sorted(book.state.budgets.items()):
+            yield {"budgets": name} | {f: getattr(said, f) for f in said.__struct_fields__}
+        for name in book.state.wants:
+            yield {"wants": name}
+        now = clock()
+        for permit in book.state.permits.values():
+            row = {"permit": permit.id, "what": permit.what, "name": permit.thing.name,
+                   "release": permit.release, "at_ms": permit.at_ms, "safe": permit.safe}  # fmt: skip
+            if permit.what == "server" and node is not None and node.role is Role.LEADER:
+                row["holds"] = {
+                    name: report.standing.get(permit.thing.name, -1)
+                    for name, (at, report) in agent.reports.items()
+                    if report.standing.get(permit.thing.name, -1) and now - at < 3 * SECOND
+                }
+            yield row
+        for release in book.state.releases.values():
+            halted = agent.halted(release) and not release.over
+            yield {"release": release.id, "kind": release.plan.kind, "digest": release.digest,
+                   "state": release.state, "halted": halted or release.state == "halted",
+                   "why": release.why, "waves": [list(w) for w in release.plan.waves],
+                   "through": release.waves, "backing": release.backing,
+                   "members": {n: m.state for n, m in release.members.items()}}  # fmt: skip
+
+    def show_log(self) -> Iterator[dict[str, Any]]:
+        if self.agent is not None:
+            for d in self.agent.book.state.history:
+                yield {f: getattr(d, f) for f in d.__struct_fields__ if f != "id"}
+
+    def counters(self) -> Iterator[str]:
+        agent = self.agent
+        if agent is None:
+            return
+        node, book = agent.node, agent.book
+        yield f"edge.agree.index:{book.index}|g"
+        yield f"edge.agree.term:{node.term if node is not None else 0}|g"
+        yield f"edge.agree.leads:{int(agent.leads)}|g"
+        yield f"edge.agree.out_proxies:{len(book.out('proxy'))}|g"
+        yield f"edge.agree.out_servers:{len(book.out('server'))}|g"
+        for name in ("messages_in", "messages_out", "bytes_out", "junk", "unsent"):
+            yield f"edge.agree.{name}:{self.figures[name]}|c"
+
+
+def start_again(words: list[str]) -> str:
+    """Another process of this proxy, which takes over from this one; why not, or empty."""
+    try:
+        fresh = subprocess.Popen(words, env=environment(), start_new_session=True, stdin=subprocess.DEVNULL)
+    except OSError as error:
+        return f"cannot be started: {error.strerror}"
+    log("release.started", f"agree: started again as process {fresh.pid}", pid=fresh.pid)
+    return ""
+
+
+def own_words() -> list[str]:
+    return [sys.executable, "-m", "arrowseam", *sys.argv[1:]]
--- a/arrowseam/config/operator.py
+++ b/arrowseam/config/operator.py
@@ -13,6 +13,7 @@
 import msgspec
 from msgspec import Meta
 
+from arrowseam.agree.budgets import Amount, Budgets
 from arrowseam.net.address import parse_address
 
 SOURCE_NAME = "^[a-z0-9][a-z0-9_-]{0,31}$"
@@ -89,11 +90,39 @@
     forget_s: Annotated[int, Meta(ge=60, le=7 * 24 * 3600)] = 3600  # members that have ended
 
 
+class BudgetsSaid(Struct, frozen=True):
+    """How many may be out at a time; a number with a point is a share. ``docs/operators/releases.md``."""
+
+    proxies: Amount = 1
+    servers: Amount = 1
+    proxies_zone: Amount = 1.0  # of those of one zone
+    servers_zone: Amount = 1.0
+    servers_type: Amount = 1.0  # of those of one machine type
+    least_ready: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.5  # of all servers' weight
+    pause_s: Annotated[float, Meta(ge=0.0, le=86400.0)] = 0.0  # between two grants of one kind
+
+
+class AgreeSaid(Struct, frozen=True):
+    """Drains and releases are agreed among these proxies; ``docs/operators/releases.md``."""
+
+    voters: Annotated[dict[str, Text], Meta(min_length=1, max_length=7)]  # name: HOST:PORT of its fleet(...)
+    restart: Literal["handover", "exit"] = "handover"  # how a release starts this proxy again
+
+
+class Agree(Struct, frozen=True):
+    """Both, as the proxy is told."""
+
+    voters: dict[str, str]
+    restart: str = "handover"
+    budgets: Budgets = Budgets()
+
+
 class Operator(Struct, frozen=True):
     """All that an operator file sets up."""
 
     servers: tuple[Servers, ...] = ()
     fleet: Fleet | None = None
+    agree: Agree | None = None
     nats: Nats | None = None
     log: Log = Log()
     state_dir: str = ""
@@ -103,6 +132,8 @@
     "servers": Servers,
     "nats": Nats,
     "fleet": Fleet,
+    "agree": AgreeSaid,
+    "budgets": BudgetsSaid,
     "log": Log,
     "state_dir": StateDir,
 }
@@ -122,13 +153,13 @@
         reason, _, path = text.partition(" - at `$")
         field = path.rstrip("`").lstrip(".")
         raise BadCall(f"{field}: {reason}" if field else reason) from None
-    if isinstance(found, Nats | Fleet):
+    if isinstance(found, Nats | Fleet | AgreeSaid):
         for key, where in _addresses(found):
             try:
                 host, port = parse_address(where)
-                if isinstance(found, Fleet) and not port:
+                if not isinstance(found, Nats) and not port:
                     raise ValueError("a port is needed, not 0")
-                if isinstance(found, Fleet) and host != str(ipaddress.ip_address(host)):
+                if not isinstance(found, Nats) and host != str(ipaddress.ip_address(host)):
                     raise ValueError(f"not an address: {host!r}")
             except ValueError as error:
                 raise BadCall(f"{key}: {error}") from None
@@ -146,7 +177,18 @@
     return found
 
 
-def _addresses(found: Nats | Fleet) -> list[tuple[str, str]]:
+def agreed(agree: Struct | None, budgets: Struct | None) -> Agree | None:
+    """What the two functions say together."""
+    if not isinstance(agree, AgreeSaid):
+        return None
+    said = budgets if isinstance(budgets, BudgetsSaid) else BudgetsSaid()
+    figures = Budgets(*(getattr(said, name) for name in Budgets.__struct_fields__))
+    return Agree(voters=agree.voters, restart=agree.restart, budgets=figures)
+
+
+def _addresses(found: Nats | Fleet | AgreeSaid) -> list[tuple[str, str]]:
+    if isinstance(found, AgreeSaid):
+        return [(f"voters.{name}", text) for name, text in found.voters.items()]
     if isinstance(found, Fleet):
         rows = [("listen", found.listen), ("advertise", found.advertise)]
         rows += [(f"seeds[{n}]", seed) for n, seed in enumerate(found.seeds)]
--- a/arrowseam/config/proxy.py
+++ b/arrowseam/config/proxy.py
@@ -59,6 +59,29 @@
     return frozenset()
 
 
+def overlaid(text: bytes, bundle: bytes) -> bytes:
+    """A configuration with the settings of a bundle over its own; raises ConfigError.
+
+    A bundle is a JSON object with ``settings``, those that all proxies have alike; a proxy's own stay.
+    """
+    if not bundle:
+        return text
+    try:
+        more = json.loads(bundle)
+    except (ValueError, RecursionError) as error:
+        raise ConfigError(f"bundle: not JSON ({error})") from None
+    if not isinstance(more, dict) or set(more) != {"settings"} or not isinstance(more["settings"], dict):
+        raise ConfigError("bundle: not a JSON object with settings and nothing else")
+    if own := sorted({"me", "zone"} & set(more["settings"])):
+        raise ConfigError(f"bundle: settings: {own[0]} is each proxy's own")
+    try:
+        doc = json.loads(text)
+        doc["settings"] = doc["settings"] | more["settings"]
+    except (ValueError, RecursionError, KeyError, TypeError) as error:
+        raise ConfigError(f"configuration: not JSON with settings ({error})") from None
+    return json.dumps(doc).encode()
+
+
 OPTIONAL = ("seed", "known", "control")  # a file may leave these out though another had them
 
 
--- a/arrowseam/config/script.py
+++ b/arrowseam/config/script.py
@@ -57,10 +57,16 @@
             raise ScriptError(plain(str(error), self.path.name)) from None
         log, state = self.once.get("log"), self.once.get("state_dir")
         nats, fleet = self.once.get("nats"), self.once.get("fleet")
+        agree, budgets = self.once.get("agree"), self.once.get("budgets")
+        if fleet is None and agree is not None:
+            raise ScriptError(f"{self.path.name}: agree: needs fleet(...)")
+        if agree is None and budgets is not None:
+            raise ScriptError(f"{self.path.name}: budgets: needs agree(...)")
         return operator.Operator(
             servers=tuple(self.servers),
             nats=nats if isinstance(nats, operator.Nats) else None,
             fleet=fleet if isinstance(fleet, operator.Fleet) else None,
+            agree=operator.agreed(agree, budgets),
             log=log if isinstance(log, operator.Log) else operator.Log(),
             state_dir=state.folder if isinstance(state, operator.StateDir) else "",
         )
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -350,6 +350,14 @@
         """Give a server a number before any list has named it."""
         numbered(server, self.numbers)
 
+    def held(self, server: str) -> int:
+        """Connections that stand at a server, and calls under way there that may yet."""
+        backend = self.numbers.get(server, 0)
+        return sum(
+            invocation.backend == backend and (invocation.open or invocation.attempt >= 0)
+            for invocation in self.invocations.values()
+        )
+
     def standing(self, server: str) -> int:
         """Connections that stand at a server."""
         found = self.balancer.servers.get(self.numbers.get(server, 0))
--- a/arrowseam/fleet/keeper.py
+++ b/arrowseam/fleet/keeper.py
@@ -68,6 +68,9 @@
         self.looked_at = 0
         self.met = False
         self.over = False
+        # Another part that talks through our sockets: whether a frame is its; and who hears of marks.
+        self.others: Callable[[bytes], bool] | None = None
+        self.marked: Callable[[], None] | None = None
         self._tell()
         self.task: Task = loop.spawn(self._run(), "fleet")
 
@@ -117,9 +120,13 @@
     # --- what goes in and out ---
 
     def _heard(self, data: bytes) -> None:
+        if self.others is not None and self.others(data):
+            return
         self._do(self.view.datagram(clock(), data))
 
     def _asked(self, data: bytes) -> bytes | None:
+        if self.others is not None and self.others(data):
+            return bytes(4)
         effects, answer = self.view.asked(clock(), data)
         self._do(effects)
         return answer
@@ -133,6 +140,9 @@
                     self._stream(token, to, data)
                 case Note(event, text, member, level):
                     log(event, text, level, member=member)
+                case Cordoned(server) if server.startswith("!"):
+                    if self.marked is not None:
+                        self.marked()
                 case Cordoned(server, out):
                     log(
                         "fleet.cordon",
@@ -261,4 +271,4 @@
         return row
 
     def show_cordons(self) -> list[str]:
-        return self.view.cordons.out()
+        return [name for name in self.view.cordons.out() if not name.startswith("!")]
--- /dev/null
+++ b/arrowseam/lab/explored.py
@@ -0,0 +1,207 @@
+"""Small configurations of the log explored exhaustively: every order of deliveries, timeouts, syncs, crashes
+and proposals there is, up to a depth.
+
+It owns the search and what must hold in every state. Losing a message is not delivering it, so all losses are
+in it; each message is delivered once at most. It must never ask a node why.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from arrowseam.agree import raft
+from arrowseam.agree.codec import COMMAND, Base, Entry, Hard, Kept, Reign, Said, Voter, Whole
+from arrowseam.agree.raft import Node, Role
+from arrowseam.agree.storage import fold
+
+REIGN = Reign(1, 1)
+WEIGHTS = {"deliver": 6.0, "sync": 6.0, "elapsed": 1.0, "propose": 2.0, "crash": 0.4}  # of a walk
+
+
+@dataclass
+class State:
+    nodes: dict[str, Node]
+    disks: dict[str, list[Kept]]
+    pending: dict[str, list[tuple[int, tuple[Kept, ...]]]]
+    flying: list[tuple[str, Said]] = field(default_factory=list)
+    leaders: dict[int, str] = field(default_factory=dict)  # by term
+    committed: dict[int, Entry] = field(default_factory=dict)
+    proposed: int = 0
+    crashed: int = 0
+    broken: list[str] = field(default_factory=list)
+
+    def clone(self) -> State:
+        return State(
+            {name: _clone(node) for name, node in self.nodes.items()},
+            {name: list(disk) for name, disk in self.disks.items()},
+            {name: list(rows) for name, rows in self.pending.items()},
+            list(self.flying), dict(self.leaders), dict(self.committed), self.proposed, self.crashed,
+            list(self.broken),
+        )  # fmt: skip
+
+    def key(self) -> int:
+        nodes = tuple(
+            (n.role.value, n.term, n.voted, n.base.index, tuple(n.log), n.commit, n.durable, n.leader,
+             n.quiet, n.pre, frozenset(n.votes), tuple(sorted((v, p.next, p.match, p.waiting)
+             for v, p in n.progress.items())), frozenset(n.active), n.spells, len(n.unstored))
+            for n in self.nodes.values()
+        )  # fmt: skip
+        flying = tuple(sorted(map(repr, self.flying)))
+        disks = tuple((len(d), len(self.pending[name])) for name, d in self.disks.items())
+        return hash((nodes, flying, disks, self.proposed, self.crashed))
+
+
+def _clone(node: Node) -> Node:
+    fresh = object.__new__(type(node))
+    for key, value in node.__dict__.items():
+        if key in ("progress", "unstored"):
+            value = copy.deepcopy(value)
+        elif isinstance(value, list | dict | set):
+            value = value.copy()
+        fresh.__dict__[key] = value
+    return fresh
+
+
+class Explorer:
+    def __init__(
+        self, voters: int = 3, proposals: int = 2, crashes: int = 1, kind: type[Node] = Node
+    ) -> None:
+        self.kind, self.proposals, self.crashes = kind, proposals, crashes
+        self.names = tuple("abcde"[:voters])
+        self.voters = tuple(Voter(name, 1) for name in self.names)
+
+    def begin(self, term: int = 1, uneven: bool = False) -> State:
+        """A leader of a term, a, has just been elected; ``uneven``: c has an entry of an older term."""
+        state = State({}, {name: [] for name in self.names}, {name: [] for name in self.names})
+        for voter in self.voters:
+            base = Base(1, 0, self.voters)
+            entries = [Entry(1, COMMAND, b"old")] if uneven and voter.name != "a" else []
+            whole = Whole(Hard(REIGN, voter, term, None), base, entries)
+            state.disks[voter.name] = [whole]
+            state.nodes[voter.name] = self.kind(voter, whole, self.names)
+        return state
+
+    def _do(self, state: State, name: str, effects: list[raft.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case raft.Send(to, what):
+                    if to in state.nodes:
+                        state.flying.append((to, what))
+                case raft.Persist(token, what):
+                    state.pending[name].append((token, what))
+                case raft.Commit(index, entry):
+                    if state.committed.setdefault(index, entry) != entry:
+                        state.broken.append(f"two entries committed at {index}")
+        node = state.nodes[name]
+        if node.role is Role.LEADER and state.leaders.setdefault(node.term, name) != name:
+            state.broken.append(f"two leaders of term {node.term}")
+
+    def steps(self, state: State) -> Iterator[tuple[str, Any]]:
+        seen = set()
+        for n, (to, what) in enumerate(state.flying):
+            text = repr((to, what))
+            if text not in seen:
+                seen.add(text)
+                yield "deliver", n
+        for name, node in state.nodes.items():
+            if state.pending[name]:
+                yield "sync", name
+            if node.role is not Role.LEADER:
+                yield "elapsed", name
+            elif state.proposed < self.proposals:
+                yield "propose", name
+            if state.crashed < self.crashes:
+                yield "crash", name
+
+    def step(self, before: State, what: str, which: Any) -> State:
+        state = before.clone()
+        match what:
+            case "deliver":
+                to, word = state.flying.pop(which)
+                self._do(state, to, state.nodes[to].message(word))
+            case "sync":
+                token, records = state.pending[which].pop(0)
+                state.disks[which] += records
+                self._do(state, which, state.nodes[which].stored(token))
+            case "elapsed":
+                self._do(state, which, state.nodes[which].elapsed())
+            case "propose":
+                state.proposed += 1
+                _, effects = state.nodes[which].propose(b"%d" % state.proposed)
+                self._do(state, which, effects)
+            case "crash":
+                state.crashed += 1
+                state.pending[which].clear()
+                held = fold(state.disks[which])
+                state.disks[which] = [held] if held is not None else []
+                me = Voter(which, 1)
+                state.nodes[which] = self.kind(me, held, self.names)
+        return state
+
+
+@dataclass
+class Found:
+    states: int
+    depth: int
+    broken: list[str]
+
+
+def explore(
+    voters: int = 3,
+    depth: int = 6,
+    proposals: int = 2,
+    crashes: int = 1,
+    kind: type[Node] = Node,
+    most: int = 1_000_000,
+    begin: str = "stands",
+) -> Found:
+    """Breadth first. ``begin``: ``stands`` (a has asked for votes and all have said yes), ``uneven`` (the
+    others have an entry of an older term beside)."""
+    explorer = Explorer(voters, proposals, crashes, kind)
+    state = explorer.begin(uneven=begin == "uneven")
+    if begin == "stands":
+        state = explorer.step(state, "elapsed", "a")
+        while any(n.role is not Role.LEADER for n in [state.nodes["a"]]):
+            found = [(w, x) for w, x in explorer.steps(state) if w in ("sync", "deliver")]
+            state = explorer.step(state, *found[0])
+    layer, seen = [state], {state.key()}
+    for level in range(depth):
+        fresh = []
+        for one in layer:
+            for what, which in explorer.steps(one):
+                after = explorer.step(one, what, which)
+                if after.broken:
+                    return Found(len(seen), level + 1, after.broken)
+                key = after.key()
+                if key not in seen:
+                    seen.add(key)
+                    fresh.append(after)
+            if len(seen) > most:
+                return Found(len(seen), level, [])
+        layer = fresh
+    return Found(len(seen), depth, [])
+
+
+def walk(
+    seed: int, steps: int = 120, voters: int = 3, kind: type[Node] = Node, begin: str = "stands"
+) -> list[str]:
+    """One way through far more steps, drawn from a seed; what was broken on it."""
+    rnd = random.Random(seed)
+    explorer = Explorer(voters, proposals=6, crashes=6, kind=kind)
+    state = explorer.begin(uneven=begin == "uneven")
+    for _ in range(steps):
+        found = list(explorer.steps(state))
+        what, which = rnd.choices(found, [WEIGHTS[what] for what, _ in found])[0]
+        try:
+            state = explorer.step(state, what, which)
+        except AssertionError as error:
+            return [str(error)]
+        if len(state.flying) > 12:  # lost
+            state.flying.pop(rnd.randrange(len(state.flying)))
+        if state.broken:
+            return state.broken
+    return []
--- a/arrowseam/lab/rig.py
+++ b/arrowseam/lab/rig.py
@@ -49,6 +49,32 @@
     return found
 
 
+class Adopted:
+    """A process that one of ours has started in its own place."""
+
+    def __init__(self, pid: int) -> None:
+        self.pid = pid
+
+    def poll(self) -> int | None:
+        try:
+            state = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+        except OSError:
+            return 0
+        return 0 if state in "ZX" else None
+
+    def send_signal(self, number: int) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        self.send_signal(signal.SIGKILL)
+
+    def wait(self) -> int:
+        while self.poll() is None:
+            time.sleep(0.005)
+        return 0
+
+
 class Rig:
     """Members ``n0`` to ``nN``. ``rows`` are the servers that the directory names; more operator settings may
     be given as Starlark text."""
@@ -63,11 +89,16 @@
         nats: bool = False,
         fleet: bool = True,
         first_port: int = 0,
+        voters: int = 0,
+        disk: bool = False,
     ) -> None:
+        """``voters``: so many agree on drains and releases, with a lasting folder each if ``disk``."""
         self.folder, self.loop = folder, Loop()
         self.names = [f"n{n}" for n in range(members)]
         self.board = Switchboard(self.loop, "rig", seed)
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.processes: dict[str, subprocess.Popen[bytes] | Adopted] = {}
+        self.former: set[int] = set()
+        self.before: list[subprocess.Popen[bytes] | Adopted] = []
         self.rows: list[dict[str, Any]] = []
         self.version, self.directory_up = 1, True
         asked = self.loop.listen(("127.0.0.1", 0), "directory", self._directory).address[1]
@@ -99,6 +130,12 @@
                 users = {u: {"class": u, "tenant": "acme"} for u in ("tech", "resident")}
                 lines.append(f"nats(listen = '127.0.0.1:{ours['nats']}', users = {json.dumps(users)}, "
                              "servers = SERVERS)")  # fmt: skip
+            if voters:
+                said = {n: _text(shown[n]) for n in self.names[:voters]}
+                lines.append(f"agree(voters = {json.dumps(said)})")
+            if disk:
+                (folder / f"state-{name}").mkdir(exist_ok=True)
+                lines.append(f"state_dir({json.dumps(str(folder / f'state-{name}'))})")
             (folder / f"{name}.star").write_text("\n".join(lines))
 
     # --- processes ---
@@ -132,7 +169,7 @@
             if not dark:
                 self.board.down(name)
 
-    def terminate(self, name: str) -> subprocess.Popen[bytes]:
+    def terminate(self, name: str) -> subprocess.Popen[bytes] | Adopted:
         self.processes[name].send_signal(signal.SIGTERM)
         return self.processes[name]
 
@@ -149,7 +186,21 @@
         for name in names:
             self.processes[name].send_signal(signal.SIGCONT)
 
+    def adopt(self) -> None:
+        """Processes that have started another in their place, by their logs."""
+        for name in list(self.processes):
+            text = self.log(name) if (self.folder / f"{name}.log").exists() else ""
+            found = re.findall(r"started again as process (\d+)", text)
+            if found and int(found[-1]) != self.processes[name].pid and int(found[-1]) not in self.former:
+                self.former.add(self.processes[name].pid)
+                self.before.append(self.processes[name])
+                self.processes[name] = Adopted(int(found[-1]))
+
     def close(self) -> None:
+        self.adopt()
+        for old in self.before:
+            old.kill()
+            old.wait()
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.kill()
@@ -195,6 +246,43 @@
 
     # --- what the processes say ---
 
+    def order(self, name: str, words: str, body: bytes = b"") -> Callable[[], str | None]:
+        """Say a line to control, while the rig goes on; what comes back is there once it is."""
+        got: list[str] = []
+
+        def run() -> Steps[None]:
+            address, due = ("127.0.0.1", self.ports[name]["control"]), clock() + 10 * SECOND
+            conn = yield from self.loop.connect(address, due)
+            if conn is None:
+                got.append("")
+                return
+            yield from conn.send(words.encode() + b"\n" + body, due)
+            while not conn.eof and clock() < due:
+                if not conn.fill() and not conn.eof:
+                    yield due
+            got.append(conn.inbox.take(len(conn.inbox)).decode().strip())
+            conn.close()
+
+        self.loop.spawn(run(), "operator")
+        return lambda: got[0] if got else None
+
+    def ordered(self, name: str, words: str, body: bytes = b"") -> str:
+        """The same, waited for."""
+        answer = self.order(name, words, body)
+        self.until(lambda: answer() is not None, 12)
+        return answer() or ""
+
+    def agreement(self, name: str) -> list[dict[str, Any]]:
+        return [json.loads(line) for line in self.call(name, "agree")[:-1]]
+
+    def book(self, name: str) -> dict[str, Any]:
+        """What one proxy has of the agreement: its first row, and the rest by kind."""
+        rows = self.agreement(name)
+        found: dict[str, Any] = rows[0] if rows else {}
+        found["permits"] = [row for row in rows if "permit" in row]
+        found["releases"] = {row["release"]: row for row in rows if "members" in row}
+        return found
+
     def call(self, name: str, words: str) -> list[str]:
         """What control answers; nothing where nobody does. The rig stands still meanwhile, 2 s at most."""
         try:
--- a/arrowseam/logs/__init__.py
+++ b/arrowseam/logs/__init__.py
@@ -19,6 +19,14 @@
 
 EVENTS = frozenset(
     {
+        "agree.broken",
+        "agree.decided",
+        "agree.follows",
+        "agree.leads",
+        "agree.out",
+        "agree.reset",
+        "agree.retuned",
+        "agree.waits",
         "call.ended",
         "connection.ended",
         "connection.moved",
@@ -51,6 +59,10 @@
         "member.suspect",
         "module.note",
         "process.started",
+        "release.begins",
+        "release.changed",
+        "release.refused",
+        "release.started",
         "reload.done",
         "reload.refused",
         "signal.failed",
--- a/arrowseam/net/control.py
+++ b/arrowseam/net/control.py
@@ -11,6 +11,11 @@
     sources           the same of each source of servers
     fleet             with fleet(...): each member, a JSON object a line, then a line ``--``
     forget MEMBER     a member that is dead to this proxy will not come back: it takes no share any more
+    agree                 with agree(...): what is agreed, a JSON object a line, then a line ``--``
+    release log           the decisions, the same way
+    drain SERVER..., undrain SERVER [off], release plan|start|halt|resume|back|cancel, agree off|reset: agreed
+                          with the other proxies; ACK or NAK and what became of it. ``release plan settings
+                          bytes=N`` is followed by N bytes.
     allow SOURCE      the next version of that file may drop more than ``max_removed``, once
 """
 
@@ -55,7 +60,26 @@
     def forget(self, name: str) -> bool: ...
 
 
-def render(relay: Relay, sources: Sources | None = None, fleet: Fleet | None = None) -> bytes:
+class Agreement(Protocol):
+    """What control asks of the agreement among proxies."""
+
+    def counters(self) -> Iterator[str]: ...
+    def show(self) -> Iterator[dict[str, Any]]: ...
+    def show_log(self) -> Iterator[dict[str, Any]]: ...
+    def order(self, words: list[str], body: bytes) -> Steps[tuple[bool, str]]: ...
+    def holds(self, server: str) -> bool: ...
+
+
+BODY_MAX = 64 << 10
+ORDERS = ("agree", "drain", "undrain", "release")
+
+
+def render(
+    relay: Relay,
+    sources: Sources | None = None,
+    fleet: Fleet | None = None,
+    agree: Agreement | None = None,
+) -> bytes:
     """The figures as statsd writes them."""
     figures, facade = relay.figures, relay.facade
     # Classes of now and those that have been, each with all three from the start.
@@ -77,6 +101,8 @@
         lines += sources.counters()
     if fleet is not None:
         lines += fleet.counters()
+    if agree is not None:
+        lines += agree.counters()
     return "".join(f"{line}\n" for line in [*lines, "--"]).encode()
 
 
@@ -85,6 +111,7 @@
         self.loop, self.relay = loop, relay
         self.sources: Sources | None = None
         self.fleet: Fleet | None = None
+        self.agree: Agreement | None = None
         self.waiting: dict[Conn, None] = {}  # callers that have not said a whole line, oldest first
         self.ready: Callable[[], bool] = lambda: True  # whether the process before us has let go
         # What a cordon must reach besides the module; told the server and whether it is out.
@@ -119,11 +146,35 @@
             cordons = {"cordons": self.fleet.show_cordons()}
             yield from self._rows(conn, chain(self.fleet.show(), [cordons]))
             return
-        answer = self.answer(call)
+        words = call.decode("ascii", "replace").split()
+        if self.agree is not None and words and words[0] in ORDERS:
+            if words in (["agree"], ["release", "log"]):
+                yield from self._rows(conn, self.agree.show_log() if len(words) > 1 else self.agree.show())
+                return
+            answer = yield from self._order(conn, words)
+        else:
+            answer = self.answer(call)
         due = clock() + HEAR_WITHIN
         yield from conn.send(answer, due)
         yield from conn.part(due)
 
+    def _order(self, conn: Conn, words: list[str]) -> Steps[bytes]:
+        """What is to be agreed with the others; a bundle may follow the line."""
+        assert self.agree is not None
+        size = next((w.removeprefix("bytes=") for w in words if w.startswith("bytes=")), "0")
+        if not size.isdigit() or int(size) > BODY_MAX:
+            return b"NAK a bundle of %d bytes at most\n" % BODY_MAX
+        body, due = bytearray(), clock() + SAY_WITHIN
+        while len(body) < int(size):
+            conn.fill()
+            body += conn.inbox.take(len(conn.inbox))
+            if len(body) < int(size) and (conn.eof or clock() >= due):
+                return b"NAK half a bundle\n"
+            if len(body) < int(size) and not conn.readable:
+                yield due
+        good, text = yield from self.agree.order(words, bytes(body))
+        return f"{'ACK' if good else 'NAK'} {text}\n".encode()
+
     def _rows(self, conn: Conn, shown: Iterator[dict[str, Any]]) -> Steps[None]:
         """Some servers a round: there may be 10,000."""
         due = clock() + HEAR_WITHIN
@@ -147,7 +198,7 @@
             case ["health"]:
                 return b"ACK\n" if self.serving else b"NAK not serving\n"
             case ["counters"]:
-                return render(self.relay, self.sources, self.fleet)
+                return render(self.relay, self.sources, self.fleet, self.agree)
             case ["sources"] if self.sources is not None:
                 return b"".join(map(_line, self.sources.show_sources())) + b"--\n"
             case ["allow", source] if self.sources is not None:
@@ -155,6 +206,8 @@
                     return b"NAK unknown source\n"
                 log("control.allow", f"control: allow {source}", source=source)
                 return b"ACK\n"
+            case ["uncordon", server] if self.agree is not None and self.agree.holds(server):
+                return b"NAK out by agreement: undrain it\n"
             case ["cordon" | "uncordon" as what, server]:
                 if not self.facade.cordon(server, what == "cordon"):
                     return b"NAK unknown server\n"
--- a/arrowseam/offload/child.py
+++ b/arrowseam/offload/child.py
@@ -37,13 +37,13 @@
 class Child:
     """One process; a coroutine that asks it becomes the owner of its socket."""
 
-    def __init__(self, loop: Loop, module: str, quiet: bool = False) -> None:
-        """``quiet``: what it says on standard error is dropped. Raises OSError."""
+    def __init__(self, loop: Loop, module: str, quiet: bool = False, argument: str = "") -> None:
+        """``quiet``: what it says on standard error is dropped; one word for it. Raises OSError."""
         self.loop = loop
         ours, theirs = socket.socketpair()
         try:
             self.process: subprocess.Popen[bytes] = subprocess.Popen(
-                words(module),
+                [*words(module), *([argument] if argument else [])],
                 stdin=theirs.fileno(),
                 stdout=theirs.fileno(),
                 stderr=subprocess.DEVNULL if quiet else None,
--- a/arrowseam/proxy.py
+++ b/arrowseam/proxy.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from arrowseam.config.proxy import Config, ConfigError, read_config
+from arrowseam.config.proxy import Config, ConfigError, overlaid, read_config
 from arrowseam.facade import Facade, Invocation
 from arrowseam.logs import log, use
 from arrowseam.net import control, lines, nats, upgrade
@@ -23,15 +23,16 @@
 from arrowseam.relay import Consumer, Relay
 
 if TYPE_CHECKING:  # imported only where there is an operator file: they cost memory
+    from arrowseam.agree.keeper import Agreement
+    from arrowseam.config.operator import Agree, Operator
     from arrowseam.config.operator import Fleet as FleetSettings
-    from arrowseam.config.operator import Operator
     from arrowseam.fleet.keeper import Keeper
     from arrowseam.members.files import Members
 
 
-def read_first(path: str, files: bool = False) -> Config:
+def read_first(path: str, files: bool = False, bundle: bytes = b"") -> Config:
     """The configuration; with ``files`` there may be no directory; raises ConfigError or OSError."""
-    config = read_config(Path(path).read_bytes())
+    config = read_config(overlaid(Path(path).read_bytes(), bundle))
     if not config.control:
         config = replace(config, control=os.environ.get("EDGE_CONTROL", ""))
     addresses = [("listen", config.listen)]
@@ -158,8 +159,12 @@
         if station is not None:
             self._share(station, offer)
         self.keeper: Keeper | None = None
+        self.agreement: Agreement | None = None
+        self.path, self.bundle = "", b""  # our configuration's file; settings agreed upon that go over it
+        self.state_dir = operator.state_dir if operator is not None else ""
         if operator is not None and operator.fleet is not None:
             self._keep(operator.fleet)
+            self._agree(operator.agree)
 
     def listen(
         self, address: Address, name: str, serve: Callable[[Conn], Steps[None]], urgent: bool = False
@@ -174,6 +179,7 @@
             if self.keeper.fleet == fleet:
                 self.keeper.retuned(self.config)
                 return
+            self._agree(None)
             self.keeper.leave()
             self.keeper.stop()
             self.keeper = None
@@ -186,6 +192,51 @@
         if self.control is not None:
             self.control.fleet = self.keeper
 
+    def _agree(self, settings: Agree | None) -> None:
+        """Begin to agree with other proxies, by other settings, or no more."""
+        if self.agreement is not None:
+            if settings is not None and self.keeper is not None:
+                self.agreement.retuned(settings)
+                return
+            self.agreement.stop()
+            self.agreement = None
+        if settings is not None and self.keeper is not None:
+            from arrowseam.agree.keeper import Agreement, own_words, start_again
+
+            def restart() -> str:
+                if settings.restart == "handover":
+                    return start_again(own_words())
+                self.drain()  # whoever watches over this process starts it again
+                return ""
+
+            ready = self.control.ready if self.control is not None else self.let_go
+            self.agreement = Agreement(
+                self.loop, self.relay, self.keeper, settings, self.state_dir, self._change, self._check,
+                restart, ready,
+            )  # fmt: skip
+        if self.control is not None:
+            self.control.agree = self.agreement
+
+    def _check(self, bundle: bytes) -> str:
+        """Why a bundle could not be taken over; empty if it could."""
+        try:
+            self._read_again(self.path, True, bundle)
+        except (OSError, ConfigError) as error:
+            return str(error)
+        return ""
+
+    def _change(self, bundle: bytes) -> str:
+        """Take a bundle over in place of the last one; why not, or empty: then the last one stays."""
+        try:
+            config = self._read_again(self.path, True, bundle)
+        except (OSError, ConfigError) as error:
+            return str(error)
+        self.bundle = bundle
+        self._take_over(config, self.nats_front.nats if self.nats_front is not None else None, None)
+        if self.keeper is not None:
+            self.keeper.retuned(self.config)
+        return ""
+
     def drain(self) -> None:
         """This process is to end: consumers and the fleet are told."""
         self.relay.drain()
@@ -222,13 +273,16 @@
         def retire() -> None:
             log("upgrade.note", f"upgrade: the new process serves; {len(relay.live)} invocations go there")
             relay.give(give, lambda: handover.link is not None and bool(handover.link.out))
+            if self.agreement is not None:
+                self.agreement.stop()
             if self.keeper is not None:
                 self.keeper.stop()  # the new process goes on under this name
             relay.drain()
 
         handover.state = lambda: {
             "list": self.directory.held(),
-            "cordoned": facade.cordoned,
+            # What is out by agreement the new process hears from the others.
+            "cordoned": [s for s in facade.cordoned if self.agreement is None or not self.agreement.holds(s)],
             "back": facade.back,
             "members": self.members.export() if self.members is not None else None,
             "ids": sorted(front.names),
@@ -289,8 +343,8 @@
         finally:
             self.reloading = None
 
-    def _read_again(self, path: str, files: bool = False) -> Config:
-        config = read_first(path, files)
+    def _read_again(self, path: str, files: bool = False, bundle: bytes | None = None) -> Config:
+        config = read_first(path, files, self.bundle if bundle is None else bundle)
         if missing := sorted(self.config.keys - config.keys):
             raise ConfigError(f"configuration: incomplete, {missing[0].lstrip('.')} is missing")
         return config
@@ -323,7 +377,9 @@
             if renumbered:
                 self.members.renumber()
             self.members.configure(operator)
+            self.state_dir = operator.state_dir
             self._keep(operator.fleet)
+            self._agree(operator.agree)
             use(operator.log.format, operator.log.level)
         self.loop.limit(config.sockets)
         self.directory.move(config.directory)
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from abc import ABC, abstractmethod
 from collections import Counter
@@ -141,6 +142,8 @@
 
     def __init__(self) -> None:
         self.answers: Counter[tuple[str, str]] = Counter()  # by class and success, overload or error
+        self.resets = 0  # connections that stood and broke
+        self.ups, self.up_log = 0, 0.0  # times to UP: how many, the sum of their logarithms in milliseconds
         self.dispatches = 0  # openings written to servers to their last byte
         self.reload_success = self.reload_failure = 0
 
@@ -182,6 +185,10 @@
         invocation.written = True
         self.figures.dispatches += 1
 
+    def _up(self, began: int) -> None:
+        self.figures.ups += 1
+        self.figures.up_log += math.log(max(1.0, (clock() - began) / MS))
+
     def _answered(self, invocation: Invocation, how: str) -> None:
         self.figures.answers[invocation.klass_name, how] += 1
         invocation.over = how != "success"
@@ -229,6 +236,7 @@
             if (yield from self._resume(invocation, consumer)):
                 yield from self._hold(invocation, consumer)
             return
+        began = clock()
         while True:
             answer = yield from self.facade.pick(invocation)
             if isinstance(answer, Call):
@@ -239,6 +247,7 @@
                     end = yield from consumer.call(answer.server, address, answer.due, invocation.stop)
                 self._note_call(invocation, answer.server, end, invocation.called_at)
                 if end == "up":
+                    self._up(began)
                     self._answered(invocation, "success")
                     self.facade.report(invocation, "up")
                     yield from self._hold(invocation, consumer)
@@ -340,6 +349,7 @@
                         "debug",
                         end=end,
                     )
+                self.figures.resets += end == "reset"
                 self.facade.report(invocation, "moved" if end == "left" else end)
                 invocation.over = True
                 yield from consumer.finish(clock() + SECOND)
