Agreed releases: drawn faults and orders on real processes, judged by their logs

Need: the promises of the agreement under drawn schedules on real processes, not on the virtual clock alone.

--- a/arrowseam/agree/agent.py
+++ b/arrowseam/agree/agent.py
@@ -25,6 +25,7 @@
 
 MS, SECOND = 1_000, 1_000_000
 LOG_MOST = 512  # entries that are kept before the book stands for them
+LOG_BYTES = 256 << 10  # and bytes of them: a state is one line to the child that stores it
 AGAIN = SECOND // 2  # a command without an answer is said again
 FACTS = 64  # entries of facts in one message
 
@@ -444,7 +445,9 @@
                     self.held = False
                 case raft.Turned():
                     self._turned()
-        if node.commit - node.base.index > LOG_MOST and self.book.index == node.commit:
+        done = node.commit - node.base.index
+        many = done > LOG_MOST or (done and sum(len(e.data) for e in node.log) > LOG_BYTES)
+        if many and self.book.index == node.commit:
             self._do(node.compact(self.book.index, self.book.save()))
 
     def _turned(self) -> None:
--- a/arrowseam/agree/keeper.py
+++ b/arrowseam/agree/keeper.py
@@ -306,7 +306,10 @@
             here = record.here and not (info is not None and info.draining)
             thing = Thing(record.name, info.zone if info is not None else "")
             proxies[record.name] = Peer(thing, record.life, here, record.state in ENDED)
-        living = [r.name for r in view.records.values() if r.state is State.ALIVE]
+        # What was said before our own last change, or long ago, is no sign that views differ.
+        since = max(now - 3 * SECOND, view.changed_at + SECOND)
+        heard = [name for name, (_, at) in view.infos.items() if at > since and name in view.records]
+        living = [name for name in heard if view.records[name].state is State.ALIVE]
         agrees = all(view.digests.get(name, view.digest) == view.digest for name in living)
         marks = {
             int(name.removeprefix(MARK)): (cordon.out, cordon.out_by)
--- /dev/null
+++ b/arrowseam/lab/agreed_stage.py
@@ -0,0 +1,171 @@
+"""Schedules of faults and orders on real processes that agree on drains and releases, judged by their logs.
+
+It owns the orders of such a schedule and what the logs must say. It must never look into a process. The
+referee puts the decisions that the proxies logged in the order of their entries and reckons by itself.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import re
+from pathlib import Path
+from typing import Any
+
+from arrowseam.lab.schedules import Schedule, Step
+from arrowseam.lab.stage import Record, Stage
+from arrowseam.net.loop import SECOND
+
+ORDERS = ("drain", "drain", "undrain", "release", "release", "restarts", "halt", "resume", "back")
+FAULTS = ("kill", "restart", "restart", "stall", "part", "part", "one way", "loss", "slow")
+PROXIES, SERVERS = 2, 1  # the budgets
+FOLLOW = 30.0  # seconds after the last fault by which all have the same book
+END = 60.0  # and by which a release that goes on is over or halted
+BUDGETS = f"budgets(proxies = {PROXIES}, servers = {SERVERS}, least_ready = 0.3)\n"
+OVER = ("planned", "done", "back", "cancelled", "halted")
+
+
+def draw(seed: int, members: int | None = None, within: float = 10.0) -> Schedule:
+    rnd = random.Random(seed)
+    count = rnd.randint(4, 7) if members is None else members
+    names, found = [f"n{n}" for n in range(count)], []
+    for kinds, most in ((FAULTS, 4), (ORDERS, 4)):
+        for _ in range(rnd.randint(1, most)):
+            what = rnd.choice(kinds)
+            who = tuple(rnd.sample(names, rnd.randint(1, count - 1) if what in ("part", "one way") else 1))
+            at, span = int(rnd.uniform(0, within) * SECOND), int(rnd.uniform(0.3, 4.0) * SECOND)
+            number = 0.1 if what == "loss" else float(rnd.randrange(1000))
+            found.append(Step(at, what, who, span, number, f"s{rnd.randrange(3)}"))
+    return Schedule(seed, count, sorted(found, key=lambda s: s.at))
+
+
+class AgreedStage(Stage):
+    """Three voters with lasting folders."""
+
+    def __init__(self, schedule: Schedule, folder: Path, first_port: int = 0) -> None:
+        super().__init__(schedule, folder, first_port, more=BUDGETS, voters=3, disk=True)
+        self.decided: dict[int, str] = {}
+        self.begun: list[tuple[str, int]] = []
+        self.heard.append(self._hear)
+
+    def _hear(self, now: float, name: str, doc: dict[str, Any]) -> None:
+        event, text = doc.get("event", ""), str(doc.get("message", ""))
+        if event == "agree.decided":
+            found = re.fullmatch(r"agree: (\d+): (.*)", text)
+            if found and self.decided.setdefault(int(found[1]), found[2]) != found[2]:
+                self.fault(
+                    f"two decisions at entry {found[1]}: {found[2]!r}, {self.decided[int(found[1])]!r}"
+                )
+        elif event == "release.begins" and (found := re.match(r"agree: permit (\d+)", text)):
+            if int(found[1]):
+                self.begun.append((name, int(found[1])))
+
+    def ready(self) -> None:
+        rig = self.rig
+        rig.until(lambda: rig.book("n0").get("role") == "out", 15)
+        rig.ordered("n0", "agree reset")
+        rig.until(self._whole, 30)
+
+    def _whole(self) -> bool:
+        rows = [self.rig.book(name) for name in self.rig.processes]
+        leads = [row for row in rows if row.get("role") == "leader"]
+        same = len({row.get("index") for row in rows}) == 1
+        return same and len(leads) == 1 and len(leads[0]["voters"]) == 3
+
+    def step(self, step: Step) -> None:
+        if step.what not in ORDERS:
+            super().step(step)
+            return
+        one = step.who[0]
+        if one not in self.rig.processes or one in self.stalled:
+            return
+        self.record.faults.append((self.now, self.now, step.what, one))
+        match step.what:
+            case "drain" | "undrain":
+                self.rig.order(one, f"{step.what} {step.server}{' off' if step.what == 'undrain' else ''}")
+            case "release":
+                tech = {"aim": 300000, "deadline": 1_700_000 - int(step.number), "effect": "retryable"}
+                other = {"aim": 300000, "deadline": 600000, "effect": "retryable"}
+                lanes = [tech | {"name": "tech"}, other | {"name": "resident"}]
+                body = json.dumps({"settings": {"lanes": lanes}}).encode()
+                self._begin(step, f"release plan settings bytes={len(body)}", body)
+            case "restarts":
+                self._begin(step, "release plan restart", b"")
+            case _:
+                self.rig.order(one, f"release {step.what}")
+
+    def _begin(self, step: Step, words: str, body: bytes) -> None:
+        one = step.who[0]
+        self.rig.order(one, f"{words} soak_s=0.3 patience_s=8 gated=0", body)
+        for pause in (1, 2, 4):
+            self.at(step.at + pause * SECOND, lambda: self._start_release(one))
+
+    def _start_release(self, one: str) -> None:
+        if one in self.rig.processes and one not in self.stalled:
+            self.rig.order(one, "release start")
+
+    def _restarted(self) -> None:
+        """Who has been started again by a release: its former process's clients went to it."""
+        self.rig.adopt()
+
+    def settle(self) -> None:
+        self._restarted()
+        super().settle()
+        self._restarted()
+        try:
+            self.rig.until(self._same, FOLLOW)
+        except TimeoutError:
+            self.fault(f"books differ {FOLLOW:g} s after the last fault")
+            return
+        try:
+            self.rig.until(self._over, END)
+        except TimeoutError:
+            self.fault(f"a release goes on {END:g} s after the last fault")
+
+    def _same(self) -> bool:
+        self.rig.adopt()
+        rows = [self.rig.book(name) for name in self.rig.processes]
+        alive = sum(name in self.rig.processes for name in self.rig.names[:3])
+        if alive < 2:
+            return True  # no quorum is left: nothing more is agreed
+        return len({row.get("index") for row in rows}) == 1 and any(r.get("role") == "leader" for r in rows)
+
+    def _over(self) -> bool:
+        self.rig.adopt()
+        alive = sum(name in self.rig.processes for name in self.rig.names[:3])
+        name = next(iter(self.rig.processes))
+        states = [row["state"] for row in self.rig.book(name)["releases"].values()]
+        return alive < 2 or all(state in OVER for state in states)
+
+    def judge(self) -> None:
+        super().judge()
+        out: dict[str, set[str]] = {"server": set(), "proxy": set()}
+        most = {"server": SERVERS, "proxy": PROXIES}
+        grants: dict[int, str] = {}
+        for index, text in sorted(self.decided.items()):
+            if found := re.match(r"grant: (server|proxy) (\S+) may go out", text):
+                out[found[1]].add(found[2])
+                grants[index] = found[2]
+                if len(out[found[1]]) > most[found[1]]:
+                    self.fault(f"{len(out[found[1]])} {found[1]} out by plan at entry {index}")
+            elif found := re.match(r"undrain: (\S+) is ", text):
+                out["server"].discard(found[1])
+            elif found := re.match(r"return: ([^:]+): ", text):
+                out["proxy"].discard(found[1])
+        for name, permit in self.begun:
+            if grants.get(permit) != name:
+                self.fault(f"{name} begins permit {permit}, which is not its own")
+        if len(set(self.begun)) < len(self.begun):
+            self.fault("a permit is used twice")
+
+
+def play(schedule: Schedule, folder: Path, first_port: int = 0) -> Record:
+    """Play one schedule; a rig that could not be set up is told as such."""
+    acted = AgreedStage(schedule, folder, first_port)
+    try:
+        return acted.play()
+    except (TimeoutError, OSError) as error:
+        acted.fault(f"not played: {error}")
+        return acted.record
+    finally:
+        acted.close()
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -389,6 +389,74 @@
 RELEASE = Schedule(5, 6, 3, True, steps=[Step(0, "release", ("p1",), text="good", number=1)])
 
 
+def test_a_walk_finds_that_votes_are_kept_in_memory_only() -> None:
+    assert any(explored.walk(seed, forgets=True) for seed in range(400))
+
+
+def leading(kind: type[Node], entries: list[Entry], names=("a", "b", "c")) -> Node:
+    """Of term 4, elected by b, all stored."""
+    voters = tuple(Voter(n, 1) for n in "abc")
+    node = kind(voters[0], Whole(Hard(Reign(1, 1), voters[0], 3), Base(1, 1, voters), entries), names)
+    for effects in (node.elapsed(), node.message(codec.Voted(Reign(1, 1), 4, voters[1], True, True))):
+        for effect in effects:
+            if isinstance(effect, Persist):
+                node.stored(effect.token)
+    for effect in node.message(codec.Voted(Reign(1, 1), 4, voters[1], True, False)):
+        if isinstance(effect, Persist):
+            node.stored(effect.token)
+    assert node.role is Role.LEADER and node.term == 4
+    return node
+
+
+def old_terms_are_not_counted(kind: type[Node]) -> bool:
+    """A majority has an entry of term 2; another may still be elected that has not (Ongaro, figure 3.7)."""
+    node = leading(kind, [Entry(2, codec.COMMAND, b"x")])
+    node.message(codec.Appended(Reign(1, 1), 4, Voter("b", 1), True, 2))
+    early = node.commit
+    node.message(codec.Appended(Reign(1, 1), 4, Voter("b", 1), True, 3))
+    return early == 1 and node.commit == 3
+
+
+def voters_change_one_at_a_time(kind: type[Node]) -> bool:
+    node = leading(kind, [], ("a", "b"))  # c is to go
+    node.message(codec.Appended(Reign(1, 1), 4, Voter("b", 1), True, 2))
+    node.names = ("a",)
+    node.change()
+    before = node.last
+    node.change()
+    return node.last == before
+
+
+def a_history_begun_by_hand_replaces_the_one_before(kind: type[Node]) -> bool:
+    node = leading(kind, [])
+    node.message(codec.Voted(Reign(2, 1), 1, Voter("b", 1), False, False))
+    return node.role is Role.OUT and node.reign == Reign(2, 1)
+
+
+def the_book_reckons_again(kind: type[Book]) -> bool:
+    held = kind()
+    put(held, Limit(voter="n0", budgets=Budgets(servers=1, least_ready=0.0)))
+    for name in ("a", "b"):
+        put(held, Drain(server=Thing(name)))
+        last = put(held, grant(name, "server"))
+    return last != ""
+
+
+@pytest.mark.parametrize(
+    ("holds", "good", "fault"),
+    [
+        (old_terms_are_not_counted, Node, planted_agree.OldTermCounted),
+        (voters_change_one_at_a_time, Node, planted_agree.ManyChangesAtOnce),
+        (a_history_begun_by_hand_replaces_the_one_before, Node, planted_agree.OldReignGoesOn),
+        (the_book_reckons_again, Book, planted_agree.BudgetNotReckonedAgain),
+    ],
+    ids=lambda x: x.__name__,
+)
+def test_what_drawn_schedules_do_not_find(holds, good, fault) -> None:
+    assert holds(good)
+    assert not holds(fault)
+
+
 HALT = [Step(0, "release", ("p1",), text="s1", number=1), Step(1300 * MS, "halt", ("p5",))]
 DOWN = [Step(0, "server down", ("p0",), 20 * SECOND, text="s0")] + [
     Step(5 * SECOND + n, "drain", ("p1",), text=f"s{n + 1}") for n in range(2)
