Agreed releases: who is told that an order is done can go on at the same proxy at once

Cause: the leader answers when it has the entry; the proxy that was asked hears of it a beat later (Agreement.say returned at once). Ruled out: the log of all five proxies has the plan at entry 12. Change: the answer names its entry, and is passed on once the own book has it.

--- a/arrowseam/agree/agent.py
+++ b/arrowseam/agree/agent.py
@@ -82,6 +82,7 @@
     id: Number
     text: str
     refused: str
+    index: Number = 0  # of the entry: who asks goes by a book that has it before it says so
 
 
 Word: TypeAlias = Said | Told | Facts | Ask | Answered
@@ -174,6 +175,7 @@
     id: int
     text: str
     refused: str
+    index: int
 
 
 @dataclass(frozen=True)
@@ -293,7 +295,7 @@
                 if word.id in self.asked and not self.asked[word.id].by:
                     del self.asked[word.id]
                     if word.id != self.limit_id:
-                        self.out.append(Answer(word.id, word.text, word.refused))
+                        self.out.append(Answer(word.id, word.text, word.refused, word.index))
             case _:
                 if self.node is not None:
                     self._do(self.node.message(word))
@@ -498,10 +500,13 @@
             asked = self.asked.pop(command.id)
             if asked.by:
                 self.out.append(
-                    Send(asked.by, Answered(self.name, command.id, decision.text, decision.refused))
+                    Send(
+                        asked.by,
+                        Answered(self.name, command.id, decision.text, decision.refused, decision.index),
+                    )
                 )
             elif command.id != self.limit_id:
-                self.out.append(Answer(command.id, decision.text, decision.refused))
+                self.out.append(Answer(command.id, decision.text, decision.refused, decision.index))
         self.held = False
 
     def _tick(self) -> None:
@@ -577,7 +582,9 @@
         if word.id in self.book.state.said:
             found = next((d for d in reversed(self.book.state.history) if self._has_id(d, word)), None)
             if found is not None:
-                self.out.append(Send(word.me, Answered(self.name, word.id, found.text, found.refused)))
+                self.out.append(
+                    Send(word.me, Answered(self.name, word.id, found.text, found.refused, found.index))
+                )
             return
         command = read(word.data)
         if command is None or command.id != word.id:
--- a/arrowseam/agree/keeper.py
+++ b/arrowseam/agree/keeper.py
@@ -88,7 +88,7 @@
         self.addresses = {name: parse_address(text) for name, text in settings.voters.items()}
         self.child: Child | None = None
         self.writes: deque[Persist] = deque()
-        self.answers: dict[int, tuple[str, str]] = {}
+        self.answers: dict[int, tuple[str, str, int]] = {}
         self.waiting: dict[int, Task | None] = {}
         self.figures: Counter[str] = Counter()
         self.broken = ""
@@ -241,9 +241,9 @@
                         self.relay.facade.cordon(server, out)
                 case Mark(release):
                     self.fleet.cordon(f"{MARK}{release}", True)
-                case Answer(number, text, refused):
+                case Answer(number, text, refused, index):
                     if number in self.waiting:
-                        self.answers[number] = text, refused
+                        self.answers[number] = text, refused, index
                         self.loop.wake(self.waiting[number])
                 case Note(event, text, level):
                     log(event, f"agree: {text}", level)
@@ -374,7 +374,10 @@
             due = clock() + ANSWER_WITHIN
             while number not in self.answers and clock() < due:
                 yield due
-            text, refused = self.answers.pop(number, ("", ""))
+            text, refused, index = self.answers.pop(number, ("", "", 0))
+            # Whoever hears that it is done may go on at this proxy: its own book has to have it.
+            while agent.book.index < index and clock() < due and not self.over:
+                yield min(due, clock() + 10 * MS)
             if text or refused:
                 return not refused, refused or text
             leader = agent.leader_name or "none"
