Agreed releases: undrain refuses what is not listed ready; halts say the true reason

Seen: a drained server that is listed as terminating was taken back by undrain, since being out by plan passed the check; a release that nobody could go on with was halted with 'members are missing' whatever held it up, since the reason is cleared before it is looked at. Lines: Agreement.order, Steward._halts. Change: the rule is the steward's, without I/O; the reason is kept with the time. Dead names out.

--- a/arrowseam/agree/agent.py
+++ b/arrowseam/agree/agent.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, TypeAlias
 
 import msgspec
 
 from arrowseam.agree import codec, raft
-from arrowseam.agree.book import Book, Business, Decision, Grant, Limit, Release, encoder, read
+from arrowseam.agree.book import Book, Business, Decision, Grant, Halt, Limit, Release, encoder, read
 from arrowseam.agree.budgets import Budgets
 from arrowseam.agree.codec import Base, Entry, Kept, Reign, Said, Struct, Voter, Whole
 from arrowseam.agree.gates import Counters, Seconds
@@ -41,7 +41,6 @@
     election: int = 500 * MS  # at least; at most twice
     report: int = SECOND
     tick: int = 200 * MS  # between two looks of a leader
-    zones: Mapping[str, str] | None = None
 
 
 # --- what proxies say to each other beside the voters' own words -------------------------------------------
@@ -536,8 +535,8 @@
         )
         if command is not None:
             self._propose(command)
-            if command.__class__.__name__ == "Halt":
-                self.out.append(Mark(command.release))  # type: ignore[union-attr]
+            if isinstance(command, Halt):
+                self.out.append(Mark(command.release))
 
     def _propose(self, command: Business) -> None:
         node = self.node
@@ -657,10 +656,8 @@
         self.out.append(Send(to, Facts(self.reign, self.name, self.leader_name, base, first, entries)))
 
     def _facts(self, word: Facts) -> None:
-        if self.node is not None:  # a voter goes by the log, also one that is not taken in yet
-            return
-        if word.reign < self.reign:
-            return
+        if self.node is not None or word.reign < self.reign:
+            return  # a voter goes by the log, also one that is not taken in yet
         if word.reign > self.reign:
             self.reign = word.reign
             self.book.load(0, b"")
--- a/arrowseam/agree/book.py
+++ b/arrowseam/agree/book.py
@@ -327,7 +327,8 @@
         why = refuses(state.budgets, c.what, c.subject, out, c.whole)
         if why:
             raise Refused(why)
-        state.wants.pop(name, None) if c.what == "server" else None
+        if c.what == "server":
+            del state.wants[name]
         state.permits[index] = Permit(index, c.what, c.subject, c.life, c.release, c.target, former, c.at_ms)
         state.granted_ms[c.what] = c.at_ms
         if c.release:
--- a/arrowseam/agree/codec.py
+++ b/arrowseam/agree/codec.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 import zlib
-from typing import Annotated, TypeAlias
+from typing import TypeAlias
 
 import msgspec
-from msgspec import Meta
 
 from arrowseam.fleet.records import Name, Number
 
@@ -20,8 +19,6 @@
 FRAME_MAX = 4 << 20
 NOOP, VOTERS, COMMAND = 0, 1, 2  # kinds of entries
 
-Text = Annotated[str, Meta(max_length=64)]
-
 
 class Struct(msgspec.Struct, array_like=True, frozen=True):
     pass
--- a/arrowseam/agree/keeper.py
+++ b/arrowseam/agree/keeper.py
@@ -42,7 +42,7 @@
 from arrowseam.agree.codec import Whole, encoder
 from arrowseam.agree.gates import Counters
 from arrowseam.agree.raft import Role
-from arrowseam.agree.steward import Peer, Seen, Sight
+from arrowseam.agree.steward import Peer, Seen, Sight, not_back
 from arrowseam.api import BackendState
 from arrowseam.config.operator import Agree
 from arrowseam.fleet.keeper import Keeper
@@ -415,9 +415,9 @@
                         return False, "; ".join(texts)
                 return True, "; ".join(texts)
             case ["undrain", server]:
-                seen = self._servers()
-                if server in seen and not (seen[server].ready or server in self._planned()):
-                    return False, f"{server} is not listed as ready: undrain {server} off, to wait no longer"
+                why = not_back(server, self._sight())
+                if why:
+                    return False, f"{why}: undrain {server} off, to wait no longer"
                 return (yield from self.say(Undrain(server=server, by=by)))
             case ["undrain", server, "off"]:
                 return (yield from self.say(Undrain(server=server, off=True, by=by)))
@@ -460,9 +460,6 @@
         """Whether a server is out here by agreement."""
         return self.agent is not None and server in self.agent.outs
 
-    def _planned(self) -> set[str]:
-        return set(self.agent.book.out("server")) if self.agent is not None else set()
-
     def _number(self, rest: list[str]) -> int | None:
         """The release that is named, or the one there is."""
         if rest and rest[0].isdigit():
--- a/arrowseam/agree/steward.py
+++ b/arrowseam/agree/steward.py
@@ -86,6 +86,12 @@
     return mark is not None and mark > (release.stamp, release.stamp_by)
 
 
+def not_back(server: str, sight: Sight) -> str:
+    """Why a server that is out cannot be called back, or empty: the lists have it ready."""
+    seen = sight.servers.get(server)
+    return "" if seen is None or seen.ready else f"{server} is not listed as ready"
+
+
 class Steward:
     """One spell as a leader. What it remembers is lost with it: the next waits anew."""
 
@@ -94,7 +100,7 @@
         self.seen_out: dict[int, int] = {}  # permit -> when we first saw it
         self.granted: dict[str, int] = {}  # what -> when the last one was committed here
         self.soak: tuple[int, int, int] = (0, 0, 0)  # release, waves, since when all of it are through
-        self.stuck: tuple[int, int] = (0, 0)  # release, since when nobody of it could go
+        self.stuck: tuple[int, int, str] = (0, 0, "")  # release, since when nobody of it could go, and why
         self.differ: int | None = None
         self.gate: Gate | None = None
         self.gate_key: tuple[int, int, frozenset[str]] = (0, 0, frozenset())
@@ -251,7 +257,7 @@
         elif now - self.differ > DIFFER:
             return "the views of the fleet differ"
         if self.stuck[0] == release.id and now - self.stuck[1] > release.plan.patience_s * SECOND:
-            return f"nobody could go for {release.plan.patience_s:g} s: {self.why or 'members are missing'}"
+            return f"nobody could go for {release.plan.patience_s:g} s: {self.stuck[2]}"
         return self._gate(now, release, seconds)
 
     def _gate(self, now: int, release: Release, seconds: Seconds) -> str:
@@ -324,18 +330,19 @@
             elif why := refuses(book.state.budgets, "proxy", peer.thing, out, whole):
                 reasons.append(why)
             elif self._pause(now, book, "proxy"):
-                self.stuck = (0, 0)
+                self.stuck = 0, 0, ""
                 self.why = "the pause between two"
                 return None
             else:
-                self.stuck = (0, 0)
+                self.stuck = 0, 0, ""
                 return Grant(what="proxy", subject=peer.thing, life=report.life, seen=missing, whole=whole,
                              release=release.id, target=target)  # fmt: skip
+        self.why = reasons[0] if reasons else ""
         if todo and not any(p.release == release.id for p in book.state.permits.values()):
-            self.stuck = self.stuck if self.stuck[0] == release.id else (release.id, now)
+            since = self.stuck[1] if self.stuck[0] == release.id else now
+            self.stuck = release.id, since, self.why
         else:
-            self.stuck = (0, 0)
-        self.why = reasons[0] if reasons else ""
+            self.stuck = 0, 0, ""
         return None
 
     @staticmethod
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -18,7 +18,7 @@
 from arrowseam.agree.budgets import Budgets, Thing, group, refuses
 from arrowseam.agree.codec import Add, Base, Entry, Hard, Reign, Voter, Whole
 from arrowseam.agree.raft import Node, Persist, Role, Send
-from arrowseam.agree.steward import Report, Sight
+from arrowseam.agree.steward import Report, Sight, Steward
 from arrowseam.lab import agreed, explored, planted_agree
 from arrowseam.lab.agreed import Schedule, Step
 
@@ -489,6 +489,14 @@
         assert (held.index in one.unused) == (not begins)
 
 
+def test_a_release_that_nobody_can_go_on_with_is_halted_with_the_reason_why() -> None:
+    held, steward, seconds = begun(), Steward(0, random.Random(1)), gates.Seconds()
+    planned(held, patience_s=5.0, gated=False)
+    for now in (0, 6 * SECOND):
+        found = steward.decide(now, held, Sight(configured=3), {}, seconds, {}, {})
+    assert isinstance(found, Halt) and found.why == "nobody could go for 5 s: p0 is missing"
+
+
 def test_a_release_is_finished_halted_with_a_reason_or_back() -> None:
     verdict = agreed.play(RELEASE)
     assert verdict.broken == [] and verdict.counts["advance"] == 4 and verdict.counts["grant"] == 6
--- a/tests/test_agree_processes.py
+++ b/tests/test_agree_processes.py
@@ -75,6 +75,12 @@
         assert not wire[0].live  # so it is empty
         assert max(wire[0].opened_at) < told + 2_000_000
     assert rig.call("n3", "uncordon s0") == ["NAK out by agreement: undrain it"]
+    rows = rig.rows
+    rig.tell([row | {"lifecycle": "Terminating"} if row["instanceId"] == "s0" else row for row in rows])
+    rig.run(1)
+    assert rig.ordered("n2", "undrain s0").startswith("NAK s0 is not listed as ready")
+    rig.tell(rows)
+    rig.run(1)
     assert rig.ordered("n2", "undrain s0").startswith("ACK s0 is back")
     rig.until(lambda: [p["name"] for p in rig.book("n3")["permits"]] == ["s1"], 5)
     rig.until(lambda: any(wire[0].live for wire in t.servers.values()), 8)
