--- a/arrowseam/agree/agent.py
+++ b/arrowseam/agree/agent.py
@@ -17,9 +17,9 @@
 from arrowseam.agree import codec, raft
 from arrowseam.agree.book import Book, Business, Decision, Grant, Halt, Limit, Release, encoder, read
 from arrowseam.agree.budgets import Budgets
-from arrowseam.agree.codec import Base, Entry, Kept, Reign, Said, Struct, Voter, Whole
+from arrowseam.agree.codec import Base, Entry, Reign, Said, Struct, Voter, Whole
 from arrowseam.agree.gates import Counters, Seconds
-from arrowseam.agree.raft import Node, Role
+from arrowseam.agree.raft import Node, Persist, Role
 from arrowseam.agree.steward import FRESH, Report, Sight, Steward, halted
 from arrowseam.fleet.records import Name, Number
 
@@ -127,12 +127,6 @@
     word: Word
 
 
-@dataclass(frozen=True)
-class Persist:
-    token: int
-    what: tuple[Kept, ...]
-
-
 @dataclass(frozen=True)
 class Act:
     """Begin what a permit allows (``permit`` 0: put right what a restart undid): run with this bundle, or
@@ -434,8 +428,8 @@
             match effect:
                 case raft.Send(to, what):
                     self.out.append(Send(to, what))
-                case raft.Persist(token, kept):
-                    self.out.append(Persist(token, kept))
+                case Persist():
+                    self.out.append(effect)
                 case raft.Commit(index, entry):
                     self._commit(index, entry)
                 case raft.Restore(index, data):
--- a/arrowseam/agree/keeper.py
+++ b/arrowseam/agree/keeper.py
@@ -24,7 +24,7 @@
 from arrowseam import __version__
 from arrowseam.agree import agent as agents
 from arrowseam.agree import codec, storage
-from arrowseam.agree.agent import Act, Agent, Answer, Check, Mark, Note, Out, Persist, Send, Spec
+from arrowseam.agree.agent import Act, Agent, Answer, Check, Mark, Note, Out, Send, Spec
 from arrowseam.agree.book import (
     BUNDLE_MAX,
     Back,
@@ -41,7 +41,7 @@
 from arrowseam.agree.budgets import Thing
 from arrowseam.agree.codec import Whole, encoder
 from arrowseam.agree.gates import Counters
-from arrowseam.agree.raft import Role
+from arrowseam.agree.raft import Persist, Role
 from arrowseam.agree.steward import Peer, Seen, Sight, not_back
 from arrowseam.api import BackendState
 from arrowseam.config.operator import Agree
--- a/arrowseam/cli/fleet.py
+++ b/arrowseam/cli/fleet.py
@@ -15,7 +15,7 @@
 
 from arrowseam.net.address import parse_address
 
-ANSWER_WITHIN = 5.0  # seconds
+ANSWER_WITHIN = 8.0  # seconds: a proxy says within five that nothing could be agreed
 DIFFER = 3  # exit status
 
 HEAD = (
@@ -34,22 +34,27 @@
 )
 
 
-def ask(address: str, words: str) -> list[str]:
-    """The lines that control answers; raises OSError or ValueError."""
+def ask(address: str, words: str, body: bytes = b"") -> list[str]:
+    """The lines that control answers, to a line and what may follow it; raises OSError or ValueError."""
     with socket.create_connection(parse_address(address), timeout=ANSWER_WITHIN) as sock:
-        sock.sendall(words.encode() + b"\n")
+        sock.sendall(words.encode() + b"\n" + body)
         lines = sock.makefile("r", encoding="utf-8").read().splitlines()
     if not lines:
         raise ValueError("no answer")
     return lines
 
 
-def members(address: str) -> tuple[list[dict[str, Any]], list[str]]:
-    """The rows and the cordons that one proxy tells; raises OSError or ValueError."""
-    lines = ask(address, "fleet")
+def rows(address: str, what: str) -> list[dict[str, Any]]:
+    """What control tells, an object a line; raises OSError or ValueError."""
+    lines = ask(address, what)
     if lines[-1] != "--":
         raise ValueError(lines[0] if lines[0].startswith("NAK") else "half an answer")
-    docs = [json.loads(line) for line in lines[:-1]]
+    return [json.loads(line) for line in lines[:-1]]
+
+
+def members(address: str) -> tuple[list[dict[str, Any]], list[str]]:
+    """The rows and the cordons that one proxy tells; raises OSError or ValueError."""
+    docs = rows(address, "fleet")
     return [doc for doc in docs if "name" in doc], next((d["cordons"] for d in docs if "cordons" in d), [])
 
 
--- a/arrowseam/cli/release.py
+++ b/arrowseam/cli/release.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-import socket
 import time
 from pathlib import Path
 from typing import Any
@@ -14,22 +13,11 @@
 import click
 from tabulate import tabulate
 
-from arrowseam.net.address import parse_address
+from arrowseam.cli.fleet import ask, rows
 
-ANSWER_WITHIN = 8.0  # seconds: a proxy says within five that nothing could be agreed
 HALTED = 3  # exit status of ``release status`` where the release is halted
 
 
-def ask(address: str, words: str, body: bytes = b"") -> list[str]:
-    """The lines that control answers; raises OSError or ValueError."""
-    with socket.create_connection(parse_address(address), timeout=ANSWER_WITHIN) as sock:
-        sock.sendall(words.encode() + b"\n" + body)
-        lines = sock.makefile("r", encoding="utf-8").read().splitlines()
-    if not lines:
-        raise ValueError("no answer")
-    return lines
-
-
 def order(addresses: tuple[str, ...], words: str, body: bytes = b"") -> int:
     """Say it to the first proxy that answers at all; exit status 0 if it was agreed."""
     for address in addresses:
@@ -44,14 +32,6 @@
     return 1
 
 
-def rows(address: str, what: str) -> list[dict[str, Any]]:
-    """Raises OSError or ValueError."""
-    lines = ask(address, what)
-    if lines[-1] != "--":
-        raise ValueError(lines[0] if lines[0].startswith("NAK") else "half an answer")
-    return [json.loads(line) for line in lines[:-1]]
-
-
 def _when(ms: int) -> str:
     return time.strftime("%H:%M:%S", time.localtime(ms / 1000))
 
@@ -147,7 +127,7 @@
             except (OSError, ValueError) as error:
                 click.echo(f"arrowseam: {address}: {error}", err=True)
                 continue
-            names += [str(row["name"]) for row in listed if row.get("zone") == zone]
+            names += [str(row["instanceId"]) for row in listed if row["zone"] == zone]
             break
     if not names:
         raise click.UsageError("no server is named")
--- a/arrowseam/config/operator.py
+++ b/arrowseam/config/operator.py
@@ -13,7 +13,7 @@
 import msgspec
 from msgspec import Meta
 
-from arrowseam.agree.budgets import Amount, Budgets
+from arrowseam.agree.budgets import Budgets
 from arrowseam.net.address import parse_address
 
 SOURCE_NAME = "^[a-z0-9][a-z0-9_-]{0,31}$"
@@ -90,16 +90,14 @@
     forget_s: Annotated[int, Meta(ge=60, le=7 * 24 * 3600)] = 3600  # members that have ended
 
 
-class BudgetsSaid(Struct, frozen=True):
-    """How many may be out at a time; a number with a point is a share. ``docs/operators/releases.md``."""
-
-    proxies: Amount = 1
-    servers: Amount = 1
-    proxies_zone: Amount = 1.0  # of those of one zone
-    servers_zone: Amount = 1.0
-    servers_type: Amount = 1.0  # of those of one machine type
-    least_ready: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.5  # of all servers' weight
-    pause_s: Annotated[float, Meta(ge=0.0, le=86400.0)] = 0.0  # between two grants of one kind
+# The function's fields are those of the type that voters go by.
+BudgetsSaid: type[Struct] = msgspec.defstruct(  # type: ignore[assignment]
+    "BudgetsSaid",
+    [(f.name, f.type, f.default) for f in msgspec.structs.fields(Budgets)],
+    bases=(Struct,),
+    namespace={"__doc__": "How many may be out at a time; a number with a point is a share."},
+    frozen=True,
+)
 
 
 class AgreeSaid(Struct, frozen=True):
@@ -181,9 +179,8 @@
     """What the two functions say together."""
     if not isinstance(agree, AgreeSaid):
         return None
-    said = budgets if isinstance(budgets, BudgetsSaid) else BudgetsSaid()
-    figures = Budgets(*(getattr(said, name) for name in Budgets.__struct_fields__))
-    return Agree(voters=agree.voters, restart=agree.restart, budgets=figures)
+    figures = msgspec.structs.asdict(budgets) if budgets is not None else {}
+    return Agree(voters=agree.voters, restart=agree.restart, budgets=Budgets(**figures))
 
 
 def _addresses(found: Nats | Fleet | AgreeSaid) -> list[tuple[str, str]]:
--- a/arrowseam/lab/agreed.py
+++ b/arrowseam/lab/agreed.py
@@ -25,7 +25,6 @@
     Mark,
     Note,
     Out,
-    Persist,
     Send,
     Spec,
     Word,
@@ -48,6 +47,7 @@
 )
 from arrowseam.agree.budgets import Budgets, Thing
 from arrowseam.agree.codec import Kept, Reign, Voter, Whole
+from arrowseam.agree.raft import Persist
 from arrowseam.agree.steward import Peer, Seen, Sight
 from arrowseam.agree.storage import fold
 from arrowseam.lab.queue import Queue
--- a/arrowseam/lab/agreed_stage.py
+++ b/arrowseam/lab/agreed_stage.py
@@ -104,14 +104,10 @@
         if one in self.rig.processes and one not in self.stalled:
             self.rig.order(one, "release start")
 
-    def _restarted(self) -> None:
-        """Who has been started again by a release: its former process's clients went to it."""
-        self.rig.adopt()
-
     def settle(self) -> None:
-        self._restarted()
+        self.rig.adopt()
         super().settle()
-        self._restarted()
+        self.rig.adopt()
         try:
             self.rig.until(self._same, FOLLOW)
         except TimeoutError:
--- a/arrowseam/lab/rig.py
+++ b/arrowseam/lab/rig.py
@@ -272,6 +272,14 @@
         self.until(lambda: answer() is not None, 12)
         return answer() or ""
 
+    def command(self, *words: str) -> subprocess.CompletedProcess[str]:
+        """One of the program's commands, while the rig goes on: what proxies say passes through it."""
+        line = [sys.executable, "-m", "arrowseam", *words]
+        run = subprocess.Popen(line, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, cwd=ROOT)
+        self.until(lambda: run.poll() is not None, 30)
+        out, err = run.communicate()
+        return subprocess.CompletedProcess(line, run.returncode, out, err)
+
     def agreement(self, name: str) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self.call(name, "agree")[:-1]]
 
--- a/tests/test_agree_processes.py
+++ b/tests/test_agree_processes.py
@@ -89,6 +89,35 @@
     assert t.harmed(set()) == []
 
 
+def test_the_commands_say_what_is_agreed_and_what_is_not(town) -> None:
+    rig = town(3).rig
+    at = f"--control=127.0.0.1:{rig.ports['n1']['control']}"
+    good = rig.command("drain", "--zone", "z", at)
+    assert good.returncode == 0 and good.stdout.count("waits for its turn") == 3, good
+    rig.until(lambda: any(p["safe"] for p in rig.book("n1")["permits"]), 10)
+    status = rig.command("release", "status", at)
+    assert (
+        status.returncode == 0
+        and "empty: safe to stop" in status.stdout
+        and "drains that wait" in status.stdout
+    )
+    (server,) = [p["name"] for p in rig.book("n1")["permits"]]
+    assert rig.command("drain", server, at).returncode == 1  # drained already
+    rows = [json.loads(line) for line in rig.command("release", "log", "--json", at).stdout.splitlines()]
+    assert [row["what"] for row in rows].count("drain") == 4 and rows[-1]["refused"]
+    assert rig.command("undrain", server, at).returncode == 0
+    bundle_file = rig.folder / "new.json"
+    bundle_file.write_bytes(bundle(1700))
+    plan = rig.command("release", "plan", "settings", str(bundle_file), "--no-gates", at)
+    assert plan.returncode == 0 and "3 proxies in" in plan.stdout, plan
+    assert rig.command("release", "halt", at).returncode == 0
+    assert rig.command("release", "status", at).returncode == 3
+    assert rig.command("release", "cancel", at).returncode == 0
+    assert rig.command("agree", "reset", at).returncode == 2  # not without --yes
+    assert rig.command("agree", "off", "n2", at).returncode == 1
+    assert rig.command("drain", "s0", "--control=127.0.0.1:1").returncode == 1
+
+
 def test_settings_are_released_in_waves_halted_anywhere_and_brought_back(town) -> None:
     t = town(6)
     rig = t.rig
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -165,12 +165,7 @@
     rig = t.rig
 
     def command(*words: str) -> subprocess.CompletedProcess[str]:
-        line = [sys.executable, "-m", "arrowseam", "fleet", *words]
-        run = subprocess.Popen(line, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
-        # The rig goes on meanwhile: all that the proxies say to each other passes through it.
-        rig.until(lambda: run.poll() is not None, 20)
-        out, err = run.communicate()
-        return subprocess.CompletedProcess(line, run.returncode, out, err)
+        return rig.command("fleet", *words)
 
     at = [f"--control=127.0.0.1:{rig.ports[n]['control']}" for n in rig.names]
     good = command(*at)
