--- a/benchmarks/agreed.py
+++ b/benchmarks/agreed.py
@@ -29,9 +29,8 @@
 from pathlib import Path
 from typing import Any
 
-from arrowseam.agree import gates
 from arrowseam.agree.raft import Node
-from arrowseam.lab import agreed, agreed_stage, explored, planted_agree
+from arrowseam.lab import agreed, agreed_stage, explored, gated, planted_agree
 from arrowseam.lab.rig import Rig
 
 SECOND = 1_000_000
@@ -112,32 +111,8 @@
 
 
 def judged(job: tuple[int, float, float, int]) -> int | None:
-    """The second after the change at which the gate alarms; 24 proxies, 20 set-ups a second at each."""
     seed, fail, slow, changed = job
-    rnd, held, weather = random.Random(seed), gates.Seconds(), 1.0
-    names = [f"p{n}" for n in range(24)]
-    own = [rnd.uniform(0.005, 0.02) for _ in names]
-    sums = [[0, 0, 0, 0.0] for _ in names]
-    gate = None
-    for second in range(120):
-        weather = max(0.3, min(3.0, weather * rnd.lognormvariate(0, 0.1)))
-        for n, row in enumerate(sums):
-            worse = n < changed and second >= 60
-            count = rnd.randint(15, 25)
-            rate = min(1.0, own[n] * weather * (fail if worse else 1.0))
-            failed = sum(rnd.random() < rate for _ in range(count))
-            ups = count - failed
-            row[0], row[1], row[2] = row[0] + count, row[1] + failed, row[2] + ups
-            mean = 3 + 0.1 * weather + (slow if worse else 0.0)
-            row[3] += rnd.gauss(mean * ups, 0.5 * ups**0.5)
-            held.take(second, names[n], 1, gates.Counters(row[0], row[1], 0, 0, 50, row[2], row[3]))
-        if second == 60:
-            gate = gates.Gate(held, names[:changed], names[changed:], 60, 60)
-        if gate is not None:
-            gate.look(second + 1, rnd)
-            if gate.wealth >= 100:
-                return second - 59
-    return None
+    return gated.alarm(seed, fail, slow, changed, proxies=24)
 
 
 def gate(count: int, jobs: int) -> None:
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -19,7 +19,7 @@
 from arrowseam.agree.codec import Add, Base, Entry, Hard, Reign, Voter, Whole
 from arrowseam.agree.raft import Node, Persist, Role, Send
 from arrowseam.agree.steward import Report, Sight, Steward
-from arrowseam.lab import agreed, explored, planted_agree
+from arrowseam.lab import agreed, explored, gated, planted_agree
 from arrowseam.lab.agreed import Schedule, Step
 
 MS, SECOND = 1_000, 1_000_000
@@ -305,33 +305,10 @@
 # --- gates --------------------------------------------------------------------------------------------------
 
 
-def alarm(seed: int, fail: float = 1.0, slow: float = 1.0, changed: int = 3, seconds: int = 60) -> int | None:
-    """The second after the change at which 12 proxies' figures raise an alarm at one in a hundred."""
-    rnd, held, sums = random.Random(seed), gates.Seconds(), [[0, 0, 0, 0.0] for _ in range(12)]
-    names, gate, weather = [f"p{n}" for n in range(12)], None, 1.0
-    for second in range(60 + seconds):
-        weather = max(0.3, min(3.0, weather * rnd.lognormvariate(0, 0.1)))  # what befalls all alike
-        for n, row in enumerate(sums):
-            worse = n < changed and second >= 60
-            count = rnd.randint(15, 25)
-            failed = sum(rnd.random() < 0.01 * weather * (fail if worse else 1.0) for _ in range(count))
-            row[0], row[1], row[2] = row[0] + count, row[1] + failed, row[2] + count - failed
-            mean = 3 + 0.1 * weather + (slow - 1.0 if worse else 0.0)
-            row[3] += rnd.gauss(mean, 0.5 / (count - failed) ** 0.5) * (count - failed)
-            held.take(second, names[n], 1, gates.Counters(row[0], row[1], 0, 0, 50, row[2], row[3]))
-        if second == 60:
-            gate = gates.Gate(held, names[:changed], names[changed:], 60, 60)
-        if gate is not None:
-            gate.look(second + 1, rnd)
-            if gate.wealth >= 100:
-                return second - 59
-    return None
-
-
 def test_gates_halt_what_is_worse_and_hardly_ever_what_is_not() -> None:
-    assert sum(alarm(seed) is not None for seed in range(40)) <= 2
-    assert all((alarm(seed, fail=30) or 99) <= 15 for seed in range(5))
-    assert all((alarm(seed, slow=1.5) or 99) <= 15 for seed in range(5))
+    assert sum(gated.alarm(seed) is not None for seed in range(40)) <= 2
+    assert all((gated.alarm(seed, fail=30) or 99) <= 15 for seed in range(5))
+    assert all((gated.alarm(seed, slow=0.4) or 99) <= 15 for seed in range(5))
 
 
 def test_a_gate_without_enough_before_gives_no_verdict() -> None:
