--- a/arrowseam/cli/__init__.py
+++ b/arrowseam/cli/__init__.py
@@ -183,11 +183,14 @@
 )
 @click.option("--members", type=click.IntRange(2, 64), help="Of a drawn one; else 3 to 7.")
 @click.option("--keep", metavar="DIR", help="Leave logs, schedule and record there.")
-def lab_fleet(schedule: str | None, seed: int | None, members: int | None, keep: str | None) -> None:
+@click.option("--agreed", is_flag=True, help="Three of them agree; drains and releases among the steps.")
+def lab_fleet(
+    schedule: str | None, seed: int | None, members: int | None, keep: str | None, agreed: bool
+) -> None:
     """Play SCHEDULE (Starlark or JSON) and judge it. Exit status 3 if a promise was broken."""
     from arrowseam.cli import lab
 
-    sys.exit(lab.fleet(schedule, seed, members, keep))
+    sys.exit(lab.fleet(schedule, seed, members, keep, agreed))
 
 
 @lab_group.command("shrink")
--- a/arrowseam/cli/lab.py
+++ b/arrowseam/cli/lab.py
@@ -10,7 +10,7 @@
 
 import click
 
-from arrowseam.lab import script, stage
+from arrowseam.lab import agreed_stage, script, stage
 from arrowseam.lab.schedules import Player, Schedule, shrink
 from arrowseam.lab.stage import Record
 
@@ -27,18 +27,20 @@
         click.echo("no promise broken")
 
 
-def _read(path: str) -> script.Written:
+def _read(path: str, kinds: dict[str, str] | None = None) -> script.Written:
     try:
-        return script.read(Path(path))
+        return script.read(Path(path), kinds)
     except script.BadSchedule as error:
         raise click.ClickException(str(error)) from None
 
 
-def fleet(path: str | None, seed: int | None, members: int | None, keep: str | None) -> int:
+def fleet(path: str | None, seed: int | None, members: int | None, keep: str | None, agreed: bool) -> int:
     """Exit status 0, or 3 where a promise was broken."""
+    kinds = stage.KINDS | (agreed_stage.KINDS if agreed else {})
+    draw = agreed_stage.draw if agreed else stage.draw
     if (path is None) == (seed is None):
         raise click.UsageError("give a schedule, or --draw SEED")
-    written = _read(path) if path is not None else script.Written(stage.draw(seed or 0, members))
+    written = _read(path, kinds) if path is not None else script.Written(draw(seed or 0, members))
     with tempfile.TemporaryDirectory() as folder:
         own = Path(keep) if keep else Path(folder)
         own.mkdir(parents=True, exist_ok=True)
@@ -49,7 +51,8 @@
             click.echo(
                 f"{step.at / 1e6:6.2f} s  {step.what} {' '.join(step.who)} {step.server}".rstrip() + span
             )
-        record = stage.play(written.schedule, own, servers=written.servers, visits=written.visits)
+        play = agreed_stage.play if agreed else stage.play
+        record = play(written.schedule, own, servers=written.servers, visits=written.visits)
         if keep:
             (own / "schedule.json").write_text(written.schedule.text())
             (own / "record.json").write_text(record.text())
--- a/arrowseam/lab/agreed_stage.py
+++ b/arrowseam/lab/agreed_stage.py
@@ -12,11 +12,13 @@
 from pathlib import Path
 from typing import Any
 
+from arrowseam.lab import stage
 from arrowseam.lab.schedules import Schedule, Step
 from arrowseam.lab.stage import Record, Stage
 from arrowseam.net.loop import SECOND
 
 ORDERS = ("drain", "drain", "undrain", "release", "release", "restarts", "halt", "resume", "back")
+KINDS = dict.fromkeys(ORDERS, "one")
 FAULTS = ("kill", "restart", "restart", "stall", "part", "part", "one way", "loss", "slow")
 PROXIES, SERVERS = 2, 1  # the budgets
 FOLLOW = 30.0  # seconds after the last fault by which all have the same book
@@ -42,9 +44,9 @@
 class AgreedStage(Stage):
     """Three voters with lasting folders."""
 
-    def __init__(self, schedule: Schedule, folder: Path, first_port: int = 0) -> None:
-        super().__init__(schedule, folder, first_port, more=BUDGETS, voters=3, disk=True)
-        self.decided: dict[int, str] = {}
+    def __init__(self, schedule: Schedule, folder: Path, first_port: int = 0, **fields: Any) -> None:
+        super().__init__(schedule, folder, first_port, more=BUDGETS, voters=3, disk=True, **fields)
+        self.decided: dict[int, tuple[str, float]] = {}  # entry -> what, and when it was first heard
         self.begun: list[tuple[str, int]] = []
         self.heard.append(self._hear)
 
@@ -52,10 +54,8 @@
         event, text = doc.get("event", ""), str(doc.get("message", ""))
         if event == "agree.decided":
             found = re.fullmatch(r"agree: (\d+): (.*)", text)
-            if found and self.decided.setdefault(int(found[1]), found[2]) != found[2]:
-                self.fault(
-                    f"two decisions at entry {found[1]}: {found[2]!r}, {self.decided[int(found[1])]!r}"
-                )
+            if found and self.decided.setdefault(int(found[1]), (found[2], now))[0] != found[2]:
+                self.fault(f"two decisions at entry {found[1]}: one is {found[2]!r}")
         elif event == "release.begins" and (found := re.match(r"agree: permit (\d+)", text)):
             if int(found[1]):
                 self.begun.append((name, int(found[1])))
@@ -138,7 +138,7 @@
         out: dict[str, set[str]] = {"server": set(), "proxy": set()}
         most = {"server": SERVERS, "proxy": PROXIES}
         grants: dict[int, str] = {}
-        for index, text in sorted(self.decided.items()):
+        for index, (text, when) in sorted(self.decided.items()):
             if found := re.match(r"grant: (server|proxy) (\S+) may go out", text):
                 out[found[1]].add(found[2])
                 grants[index] = found[2]
@@ -148,6 +148,10 @@
                 out["server"].discard(found[1])
             elif found := re.match(r"return: ([^:]+): ", text):
                 out["proxy"].discard(found[1])
+            else:
+                continue
+            for what, names in out.items():
+                self.record.outs.append((when, what, len(names), most[what]))
         for name, permit in self.begun:
             if grants.get(permit) != name:
                 self.fault(f"{name} begins permit {permit}, which is not its own")
@@ -155,13 +159,6 @@
             self.fault("a permit is used twice")
 
 
-def play(schedule: Schedule, folder: Path, first_port: int = 0) -> Record:
-    """Play one schedule; a rig that could not be set up is told as such."""
-    acted = AgreedStage(schedule, folder, first_port)
-    try:
-        return acted.play()
-    except (TimeoutError, OSError) as error:
-        acted.fault(f"not played: {error}")
-        return acted.record
-    finally:
-        acted.close()
+def play(schedule: Schedule, folder: Path, first_port: int = 0, **fields: Any) -> Record:
+    """Play one schedule."""
+    return stage.play(schedule, folder, first_port, AgreedStage, **fields)
--- a/arrowseam/lab/stage.py
+++ b/arrowseam/lab/stage.py
@@ -362,9 +362,11 @@
         self.town.close()
 
 
-def play(schedule: Schedule, folder: Path, first_port: int = 0, **fields: Any) -> Record:
+def play(
+    schedule: Schedule, folder: Path, first_port: int = 0, kind: type[Stage] = Stage, **fields: Any
+) -> Record:
     """Play one schedule; a rig that could not be set up is told as such, not as a fault of the proxies."""
-    stage = Stage(schedule, folder, first_port, **fields)
+    stage = kind(schedule, folder, first_port, **fields)
     try:
         return stage.play()
     except (TimeoutError, OSError) as error:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -87,6 +87,21 @@
     assert CliRunner().invoke(main, ["lab", "report", str(tmp_path)]).exit_code == 1
 
 
+def test_a_play_of_proxies_that_agree_shows_who_is_out_beside_the_budget(tmp_path: Path) -> None:
+    (tmp_path / "s.star").write_text(
+        'fleet(members = 3)\nat(0.1, "drain", ["n2"], server = "s1")\n'
+        'at(0.2, "release", ["n1"], number = 7)\nat(0.5, "stall", ["n0"], span = 0.4)\n'
+    )
+    words = ["lab", "fleet", str(tmp_path / "s.star"), "--agreed", "--keep", str(tmp_path / "k")]
+    run = CliRunner().invoke(main, words)
+    assert run.exit_code == 0, run.output
+    record = Record.read((tmp_path / "k" / "record.json").read_text())
+    assert max(out for _, what, out, _ in record.outs if what == "server") == 1
+    assert max(out for _, what, out, _ in record.outs if what == "proxy") >= 1
+    assert CliRunner().invoke(main, ["lab", "report", str(tmp_path / "k")]).exit_code == 0
+    assert "Out, beside what may be" in (tmp_path / "k" / "report.html").read_text()
+
+
 def test_a_broken_promise_is_an_exit_status_and_stands_on_the_page(tmp_path: Path) -> None:
     record = Record(Schedule(1, 2, []).text(), broken=["<n0> holds n1 dead"], ended=1.0)
     (tmp_path / "record.json").write_text(record.text())
