Endings: pushed lists are asked for; nothing owed is lost where something ends

Cause: only the module's Watch made the directory's client call, and the module asks for none where lists are pushed: the proxy went by its list of the start for life (relay.turn, balance T_LIST). Ruled out: late calls (there were none), the list's reading. Now the client begins by itself there, with waits of a quarter of the drain grace (what the agent has counts at once), and pauses where it is answered at once with nothing new.

Found by reading every path that ends something, each forced by a test that fails without its mend: - the drain refused what may have run, whatever its class (facade.pick, rule 2): the module says now - who was in the accept queue or rested at the end was reset; the drain takes, answers and hears them out, and a peer that will not go no longer holds the process past its time; what is read after SIGTERM is refused - an attempt went out to a client gone, to a server that drained while it was connected to, or after the window for a repeat: looked at again right before the opening is written, epoll asked anew if it is stale - closes with a word for want of descriptors, and at the end of a rest, lost it to bytes that came then - a list nested too deep or with too long a number ended the client's coroutine for good; an endless one and a server's endless words had the loop to themselves; a list without instances replaced the one held - after failures the directory was asked again only up to 5 s later, of the 6 s that count; now 2 s at most - descriptors: those let in while no server was known left none to call one with; each now has one kept

--- a/arrowseam/api.py
+++ b/arrowseam/api.py
@@ -261,6 +261,13 @@
     at: int = 0  # put back then; 0 = now
 
 
+@dataclass(slots=True)
+class Dismissed:
+    """This relay ends: a request that does not stand gets its final answer now, whatever could be tried."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class Retune:
     """New settings. ``kept`` says, for each of their classes, which one of the old it is; -1 = none."""
@@ -277,6 +284,7 @@
 Event: TypeAlias = (
     BackendList
     | Cordon
+    | Dismissed
     | Retune
     | Request
     | Adopted
--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -227,6 +227,9 @@
 # A relay whose part of what a backend can carry is fewer connections than this cannot tell by its own how
 # many the backend holds: one more or less there, times the relays, is as much as there is room for.
 THIN = 4.0
+# After a failed call to the list service the next one comes by chance within this, then within twice it, ...
+ASK_FIRST = SECOND // 2
+ASK_MOST = 2 * SECOND  # of the 6 s after which all counts as told; a call may take most of the rest
 CROSSING = 0.1  # price of a crossing at which other zones keep 1/e of their share
 
 
@@ -294,6 +297,7 @@
         self.handlers = {
             api.BackendList: self._on_list,
             api.Cordon: self._on_cordon,
+            api.Dismissed: self._on_dismissed,
             api.Retune: self._on_retune,
             api.Request: self._on_request,
             api.Adopted: self._on_adopted,
@@ -956,6 +960,25 @@
             job.ran_on, job.ran_at = server, self.now - event.elapsed
         self._place(job)
 
+    def may_begin(self, now: int, request: int) -> bool:
+        """Whether the attempt chosen for a request may still go out now that it could.
+
+        Guards against what ends while it connects: its backend drains, or the window for another attempt at
+        what may have run is over.
+        """
+        job = self.jobs.get(request)
+        if job is None or job.server is None or not self._usable(job.server):
+            return False
+        repeats = job.ran_on is not None and job.rule.effect is Effect.KEYED
+        return not repeats or now - job.ran_at < job.rule.key_ttl
+
+    def _on_dismissed(self, event: api.Dismissed) -> None:
+        job = self.jobs.get(event.request)
+        if job is not None and not job.open:
+            self.held.pop(job.id, None)
+            self._let_go(job)
+            self._give_up(job)
+
     def _on_gone(self, event: api.ClientGone) -> None:
         job = self.jobs.pop(event.request, None)
         self.held.pop(event.request, None)
@@ -1127,10 +1150,11 @@
             self.subscribed = self.asking = False
             self.list_failures = min(self.list_failures + 1, 4)
             self._log(f"list service: call failed ({len(self.ready)} backends ready by the list held)")
-            # Doubling waits spare a list service that cannot grow; asking must not stop for longer than
-            # ``ask_within``, or this relay would be held to know what it was never told.
-            wait = min(SECOND << self.list_failures, self.settings.rules.ask_within / 2)
-            self._ask_later(wait)
+            # Doubling waits spare a list service that cannot grow, but whatever it has counts as told soon
+            # after it can be reached: asking must not stop for long. An agent with pushed lists is free.
+            rules = self.settings.rules
+            wait = min(ASK_FIRST << (self.list_failures - 1), ASK_MOST, rules.ask_within / 4)
+            self._ask_later(wait if self.settings.subscribe else min(wait, rules.drain_grace / 4))
             return
         if kind in (ListKind.CHANGES, ListKind.FULL) and self.asking:
             self.subscribed, self.asking, self.list_failures = True, False, 0
@@ -1190,7 +1214,7 @@
 
     def _on_timer(self, event: api.Timer) -> None:
         if event.token == T_LIST:
-            if self.settings.subscribe and not self.subscribed and not self.asking:
+            if not self.subscribed and not self.asking:
                 self.asking = True
                 self.out.append(api.Watch(True))
         elif event.token == T_LEAVE:
--- a/arrowseam/config/decode.py
+++ b/arrowseam/config/decode.py
@@ -28,9 +28,12 @@
     value = found.get(key, default)
     if value is None:
         return default
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
-        raise DecodeError(f"settings: {key} must be a finite number")
-    return float(value)
+    try:
+        if not isinstance(value, bool) and isinstance(value, (int, float)) and math.isfinite(value):
+            return float(value)
+    except OverflowError:  # a whole number longer than any float
+        pass
+    raise DecodeError(f"settings: {key} must be a finite number")
 
 
 def whole(found: dict[str, Any], key: str, default: int = 0) -> int:
--- a/arrowseam/facade.py
+++ b/arrowseam/facade.py
@@ -28,7 +28,7 @@
     "unreachable": api.Outcome.CONNECT_FAILED,
     "reset": api.Outcome.RESET,
     "moved": api.Outcome.CANCELLED,
-    "unsent": api.Outcome.MOOT,  # called off before its opening was written
+    "unsent": api.Outcome.MOOT,  # called off before its opening was written, or no descriptor to try with
 }
 KINDS = {
     "changes": api.ListKind.CHANGES,
@@ -96,11 +96,11 @@
     open: bool = False
     move: bool = False  # the module wants its consumer to come again
     call_off: bool = False
-    dismissed_ms: int = 0  # set: refuse it now, and say when to come again
+    dismissed: bool = False  # this process ends: the final answer is due now
 
     def stop(self) -> bool:
         """Whether the call under way is to be given up."""
-        return self.call_off or self.dismissed_ms > 0 or self.left()
+        return self.call_off or self.dismissed or self.left()
 
 
 @dataclass(slots=True)
@@ -218,9 +218,10 @@
                 # An attempt that the module has queued meanwhile is settled, never made.
                 self.gone(invocation)
                 return Left()
-            if invocation.dismissed_ms:
-                self.gone(invocation)
-                return Rejection(invocation.dismissed_ms)
+            if invocation.dismissed and invocation.known:
+                # Whether it may be refused, after what was tried for it, is the module's to say.
+                invocation.answers.clear()
+                self._feed(api.Dismissed(invocation.number))
             if invocation.answers:
                 answer = invocation.answers.popleft()
                 if isinstance(answer, Call):
@@ -235,6 +236,10 @@
                 return Failure()
             yield invocation.due
 
+    def may_begin(self, invocation: Invocation) -> bool:
+        """Whether the attempt under way, which can begin now, still may."""
+        return self.balancer.may_begin(max(self.clock(), self.balancer.now), invocation.number)
+
     def export(self, invocation: Invocation) -> dict[str, Any]:
         """What stands, as another process of this proxy takes it up: names, no positions."""
         rule = invocation.rule or self.settings.classes[invocation.klass]
--- a/arrowseam/members/listing.py
+++ b/arrowseam/members/listing.py
@@ -122,6 +122,8 @@
     try:
         if not isinstance(doc, dict):
             raise DecodeError("list: not a JSON object")
+        if doc.get("instances") is None:  # taken for an empty list it would replace the one held
+            raise DecodeError("list: instances is missing")
         found = [read_member(row) for row in rows(doc, "instances")]
         return bool(doc.get("reset")), whole(doc, "generation"), found
     except DecodeError as error:
--- a/arrowseam/net/directory.py
+++ b/arrowseam/net/directory.py
@@ -20,11 +20,18 @@
 from arrowseam.net.address import Address, parse_address
 from arrowseam.net.loop import MS, SECOND, Conn, Loop, Steps, Task, clock
 
-# What a wait would have brought counts as told 2 s after its end: waits are short, so that a call that went
-# astray is noticed early, but not so short that empty answers load a service which all proxies share.
+# What a wait would have brought counts as told 2 s after its end, and 6 s after the watch fell silent: waits
+# are short, so that a call that went astray is noticed early, but not so short that empty answers load a
+# service which all proxies share.
 WAIT = 4 * SECOND
-OVERTIME = 1500 * MS  # by so much later than the wait an answer may come
+OVERTIME = SECOND  # by so much later than the wait an answer may come
+WHOLE = 3500 * MS  # the same of the whole list, which waits for nothing but its turn
 CONNECT = SECOND
+# Where lists are pushed, what the agent has counts as told at once, and asking it costs nobody anything: a
+# wait, what it may be late and what passes until the next call are each this part of the time a drain leaves.
+PUSHED_PART = 4
+# Between two calls, where one was answered at once with nothing new; more would be a new watch (200 ms).
+PACE = 100 * MS
 ANSWER_MAX = 8 << 20
 
 
@@ -55,11 +62,27 @@
         self.task: Task | None = None
         if config.known and self.address:
             try:
-                self._take(config.known, cached=True)
+                self._take(config.known, read_members(config.known), cached=True)
                 self.whole = False
             except ConfigError as error:
                 log("directory.unread", f"directory: the list at the start is no list: {error}")
 
+    def _watch_spans(self) -> tuple[int, int]:
+        """How long a watch waits, and by how much later its answer may come."""
+        settings = self.config.settings
+        if settings.subscribe:
+            return WAIT, OVERTIME
+        part = max(PACE, settings.rules.drain_grace // PUSHED_PART)
+        return min(WAIT, part), min(OVERTIME, part)
+
+    def begin(self) -> None:
+        """Where lists are pushed: an agent has them, but does not come with them by itself.
+
+        Guards against a proxy that goes by its list of the start for as long as it lives.
+        """
+        if not self.config.settings.subscribe:
+            self.ask(whole=False)
+
     def ask(self, whole: bool) -> None:
         """Begin to watch, or with ``whole`` ask for the whole list first; answers go to the facade."""
         if not self.address:
@@ -90,8 +113,9 @@
             self.rows.clear()
         self.ask(whole=True)
 
-    def _take(self, doc: Any, cached: bool = False) -> None:
-        reset, self.version, members = read_members(doc)
+    def _take(self, doc: Any, read: tuple[bool, int, list[Member]], cached: bool = False) -> None:
+        """Put a list that has been read in force; all of it is good."""
+        reset, self.version, members = read
         kind = "cached" if cached else "full" if reset else "changes"
         if kind != "changes":
             self.rows.clear()
@@ -108,13 +132,17 @@
         while True:
             while not self.asked:
                 yield None
-            began = clock()
+            began, before = clock(), self.version
             try:
-                doc = yield from self._call(address)
+                text = yield from self._call(address)
                 try:
-                    self._take(json.loads(doc))
-                except (ValueError, ConfigError) as error:
+                    doc = json.loads(text)
+                    read = read_members(doc)
+                    if doc.get("generation") is None:
+                        raise ConfigError("list: generation is missing")
+                except (ValueError, RecursionError, ConfigError) as error:
                     raise CallFailed(f"bad answer: {error}") from None
+                self._take(doc, read)
                 self.whole = False
                 if self.trace:
                     states = Counter(row["lifecycle"] for row in self.rows.values())
@@ -133,6 +161,10 @@
                 self._hang_up()
                 self.asked = False
                 self.facade.listing(None)
+                continue
+            pause = began + PACE
+            while self.version == before and clock() < pause:
+                yield pause
 
     def _hang_up(self) -> None:
         if self.conn is not None:
@@ -140,14 +172,16 @@
         self.conn = self.http = None
 
     def _call(self, address: Address) -> Steps[bytes]:
-        wait = 0 if self.whole else WAIT
+        """One call, over by one time whatever it is spent on: connecting, writing, an answer in pieces."""
+        wait, late = (0, WHOLE) if self.whole else self._watch_spans()
         target = "/api/targets"
         if not self.whole:
-            target += f"?since={self.version}&timeout_ms={WAIT // MS}"
-        due = clock() + wait + OVERTIME + (0 if wait else 2 * SECOND)
-        if self.conn is None or self.conn.left:
-            self._hang_up()
-            self.conn = yield from self.loop.connect(address, min(due, clock() + CONNECT))
+            target += f"?since={self.version}&timeout_ms={wait // MS}"
+        due = clock() + wait + late
+        if self.conn is not None and (self.conn.left or len(self.conn.inbox)):
+            self._hang_up()  # ended, or with an answer that no call of ours asked for
+        if self.conn is None:
+            self.conn = yield from self.loop.connect(address, min(due, clock() + CONNECT), kept=True)
             self.http = h11.Connection(h11.CLIENT)
         conn, http = self.conn, self.http
         if conn is None or http is None:
@@ -158,15 +192,16 @@
             raise CallFailed("the request could not be written")
         status, body, size = 0, [], 0
         while True:
+            if clock() >= due:
+                raise CallFailed("no answer in time")
             event = http.next_event()
             if event is h11.NEED_DATA:
                 conn.fill()
                 if len(conn.inbox):
                     http.receive_data(conn.inbox.take(len(conn.inbox)))
+                    yield from self.loop.rest()  # one that never ends must not have the loop to itself
                 elif conn.eof:
                     http.receive_data(b"")
-                elif clock() >= due:
-                    raise CallFailed("no answer in time")
                 else:
                     yield due
             elif isinstance(event, h11.Response):
@@ -182,7 +217,7 @@
                 raise CallFailed("the connection ended without an answer")
         if status != 200:
             raise CallFailed(f"status {status}")
-        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+        if http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]:
             http.start_next_cycle()
         else:
             self._hang_up()
--- a/arrowseam/net/lines.py
+++ b/arrowseam/net/lines.py
@@ -17,11 +17,12 @@
 from arrowseam.logs import log
 from arrowseam.net.address import Address
 from arrowseam.net.loop import MS, SECOND, Buffer, Conn, Framer, Loop, Passage, Steps, clock
-from arrowseam.relay import REJECT_MS, Consumer, Relay
+from arrowseam.relay import Consumer, Relay
 
 LINE_MAX = 4096
 EARLY = 16384  # bytes held of a consumer that has been heard
 FIRST_LINE = 2 * SECOND  # from connecting, whatever is said before it: then it is closed
+LOADS_KEPT = 16  # told and not yet heard by the module
 PINGS = 16  # asked before the first line; who wants more than that wants something else
 # ``d`` counts from the client's sending: what the way here and back, and our own queue, may take of it.
 MARGIN = 15 * MS
@@ -122,6 +123,7 @@
         if self.last == b"LOAD":
             with suppress(IndexError, ValueError):  # a line for the client may look like a report
                 self.loads.append(float(line.split()[1]))
+                del self.loads[:-LOADS_KEPT]
 
     def release(self, inbox: Buffer, known: int) -> int:
         whole = inbox.rfind(b"\n") + 1
@@ -144,6 +146,8 @@
 
     def greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
         assert self.opening is not None  # one that was taken over stands already
+        if not self.fits():
+            return "off"
         wait_ms = max(1, (due - clock()) // MS)
         if not (yield from server.send(self.opening.onward(wait_ms), due)):
             # Its last byte was not written, so it has never run.
@@ -158,7 +162,10 @@
                 if word == b"LOAD":
                     self.said.note(line)
                     server.inbox.drop(at + 1)
-                    continue
+                    yield from self.loop.rest()  # who says this for ever must not have the loop to itself
+                    if not (stop() or clock() >= due):
+                        continue
+                    return "off" if stop() else "timeout"
                 if word == b"UP":
                     self.passage = Passage(self.conn, server, Framer(), self.said)
                     return "up"
@@ -213,16 +220,18 @@
 
     def serve(self, conn: Conn) -> Steps[None]:
         conn.inbox.limit = LINE_MAX
+        refusal = rejection_line(self.relay.retry_ms)
         if not self.loop.make_room():
             # Early and honest, while there are descriptors to do it with.
-            due = clock() + SECOND
-            yield from conn.send(rejection_line(REJECT_MS), due)
-            yield from conn.part(due)
+            yield from self._end(conn, refusal)
             return
-        self.loop.expendable[conn] = rejection_line(REJECT_MS)
+        self.loop.expendable[conn] = refusal
         line = yield from self._first(conn, clock() + FIRST_LINE)
         self.loop.expendable.pop(conn, None)
-        if line is None and not len(conn.inbox):
+        if line is None and (not len(conn.inbox) or (self.relay.closing and not conn.eof)):
+            # It rested till now. What it may be saying in this very moment has its answer here.
+            if not conn.eof:
+                yield from self._end(conn, refusal)
             return
         try:
             opening = parse_open(line or b"")
@@ -234,13 +243,18 @@
         except BadLine as error:
             if self.relay.trace:
                 log("front.opening", f"bad first line: {error}: {(line or conn.inbox.peek(60))[:120]!r}")
-            yield from conn.send(b"ERR\r\n", clock() + SECOND)
-            yield from conn.part(clock() + SECOND // 2)
+            yield from self._end(conn, b"ERR\r\n")
             return
         conn.inbox.limit = EARLY
         consumer = LineConsumer(self.loop, conn, self.config.settings.limits.connect_timeout, opening)
         yield from self._stay(invocation, consumer, self.relay.serve)
 
+    def _end(self, conn: Conn, word: bytes) -> Steps[None]:
+        """One last word to who has no invocation."""
+        due = clock() + SECOND // 2
+        yield from conn.send(word, due)
+        yield from conn.part(due)
+
     def take(self, conn: Conn, server: Conn, invocation: Invocation, state: dict[str, Any]) -> Steps[None]:
         """Go on with what stood at another process of this proxy."""
         consumer = LineConsumer(self.loop, conn, 0, None)
@@ -271,7 +285,7 @@
     def _first(self, conn: Conn, due: int) -> Steps[bytes | None]:
         """The first line that is no PING. One PING a round of the loop is answered, and not for ever."""
         for _ in range(PINGS):
-            line = yield from conn.line(LINE_MAX, due)
+            line = yield from conn.line(LINE_MAX, due, lambda: self.relay.closing)
             if line != b"PING" or not (yield from conn.send(b"PONG\r\n", due)):
                 return line
             yield from self.loop.rest()
--- a/arrowseam/net/loop.py
+++ b/arrowseam/net/loop.py
@@ -43,6 +43,8 @@
 # word.
 HEAR_OUT = 5 * SECOND
 HEAR_PACE = 2 * MS  # between two helpings of what is thrown away: its sender must not have the core to itself
+OWN = 8  # descriptors kept back from calls to servers: our own files, the directory's connection
+STALE = 10 * MS  # how long what epoll has said is good enough for who must know whether a peer is still there
 REST_MAX = 2048  # bytes of a message not whole yet that may go from one process to the other
 SCRATCH = bytearray(65536)  # what is thrown away is read into this and nowhere else
 WATCHED = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
@@ -213,8 +215,9 @@
                 came = came or count > 0
         return came
 
-    def line(self, limit: int, due: int) -> Steps[bytes | None]:
-        """The next line without its CRLF; None at the end of the stream, ``due``, or past ``limit``.
+    def line(self, limit: int, due: int, stop: Callable[[], bool] = bool) -> Steps[bytes | None]:
+        """The next line without its CRLF; None at the end of the stream, ``due``, past ``limit``, or where no
+        whole line is there and ``stop`` says so.
 
         A line that ends in any other way keeps its end, so that nobody takes it for what it is not.
         """
@@ -223,7 +226,7 @@
             at = self.inbox.find(b"\n")
             if 0 <= at < limit:
                 return self.inbox.take(at + 1).removesuffix(b"\r\n")
-            if at >= limit or len(self.inbox) >= limit or self.eof or clock() >= due:
+            if at >= limit or len(self.inbox) >= limit or self.eof or clock() >= due or stop():
                 return None
             yield due
 
@@ -246,6 +249,17 @@
         """Whether both ends still hold it, as far as is known."""
         return not (self.eof or self.broken or self.hung or self.closed)
 
+    def dismiss(self, word: bytes) -> None:
+        """Say a last word and close at once, for want of descriptors: no time to hear the peer out.
+
+        What it said up to now is read and thrown away, or the reset for that would take our word with it.
+        """
+        self.push(word)
+        self.end()
+        self.readable = True
+        self.skim()
+        self.close()
+
     def close(self, reset: bool = False) -> None:
         if self.closed:
             return
@@ -275,6 +289,9 @@
                     yield pause
             elif not self.eof and not self.broken:
                 yield min(due, last)
+        if not self.broken and not self.closed:
+            self.readable = True  # whatever epoll has not told yet
+            self.skim()
         self.close()
 
 
@@ -300,6 +317,8 @@
         self.ready: deque[Task] = deque()
         self.urgent: deque[Task] = deque()  # run before the others in each round: those of control
         self.kept = 0  # descriptors that consumers may not have: those of control
+        self.promised = 0  # servers' connections that those who wait for one may yet take
+        self.polled_at = 0
         self.elsewhere = 0  # descriptors that the other process of this proxy holds during an upgrade
         # Connections that may be closed to make room, oldest first, each with the last word it is owed:
         # those that have not said yet what they want, and (with none) those that have had their answer.
@@ -340,9 +359,15 @@
         """
         return (
             self.spare < 0
-            or len(self.conns) + self.elsewhere + self.kept + 24 + self.sockets // 32 >= self.sockets
+            or len(self.conns) + self.promised + self.elsewhere + self.kept + 24 + self.sockets // 32
+            >= self.sockets
         )
 
+    @property
+    def spent(self) -> bool:
+        """Whether all that is left is kept back: no server is called then."""
+        return len(self.conns) + self.elsewhere + OWN >= self.sockets
+
     def make_room(self) -> bool:
         """Whether there is room for one more connection, once those that can be spared have gone.
 
@@ -354,16 +379,22 @@
                 if word and conn.fill():
                     continue  # it has just spoken: what it said comes first
                 if word:
-                    conn.push(word)
+                    conn.dismiss(word)
                 conn.close()
                 self.wake(conn.owner)
                 if not self.scarce:
                     break
         return not self.scarce
 
-    def dial(self, address: Address, limit: int = 16384) -> Conn | None:
-        """Begin to connect for the running coroutine; None if that fails at once."""
+    def dial(self, address: Address, limit: int = 16384, kept: bool = False) -> Conn | None:
+        """Begin to connect for the running coroutine; None if that fails at once.
+
+        With ``kept`` it may have a descriptor of those kept back. Guards against a directory that cannot be
+        called because clients or servers hold them all.
+        """
         self.make_room()
+        if self.spent and not kept:
+            return None
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
         except OSError:
@@ -375,9 +406,11 @@
             return None
         return Conn(self, sock, self.current, limit)
 
-    def connect(self, address: Address, due: int, stop: Callable[[], bool] = bool) -> Steps[Conn | None]:
+    def connect(
+        self, address: Address, due: int, stop: Callable[[], bool] = bool, kept: bool = False
+    ) -> Steps[Conn | None]:
         """Connect by ``due`` or until ``stop`` says so; None if it did not come up."""
-        conn = self.dial(address)
+        conn = self.dial(address, kept=kept)
         if conn is None:
             return None
         try:
@@ -483,19 +516,7 @@
             if self.timers and (due is None or self.timers[0][0] < due):
                 due = self.timers[0][0]
             wait = -1.0 if due is None else max(0.0, (due - clock()) / SECOND)
-            self.stale.clear()
-            for fd, what in self.epoll.poll(0 if self.ready or self.urgent else wait, 256):
-                found = None if fd in self.stale else self.conns.get(fd)
-                if isinstance(found, Conn):
-                    if what & select.EPOLLOUT or what & (select.EPOLLERR | select.EPOLLHUP):
-                        found.writable = True
-                    if what & ~select.EPOLLOUT:
-                        found.readable = True
-                    if what & (select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR):
-                        found.hung = True
-                    self.wake(found.owner)
-                else:
-                    self.wake(found)
+            self._poll(0 if self.ready or self.urgent else wait)
             now = clock()
             while self.timers and self.timers[0][0] <= now:
                 at, _, task = heapq.heappop(self.timers)
@@ -505,7 +526,37 @@
                 self.resume(self.urgent.popleft())
             for _ in range(len(self.ready)):
                 self.resume(self.ready.popleft())
-            due = self.turn(clock())
+            try:
+                due = self.turn(clock())
+            except Exception:  # guards against a fault there that ends all connections with the process
+                told = " | ".join(traceback.format_exc().strip().splitlines()[-3:])
+                log("turn.failed", f"turn: {told}", "error")
+                due = clock() + 100 * MS
+
+    def _poll(self, wait: float) -> None:
+        """Take what epoll has to say: mark the connections and wake who owns them."""
+        self.stale.clear()
+        for fd, what in self.epoll.poll(wait, 256):
+            found = None if fd in self.stale else self.conns.get(fd)
+            if isinstance(found, Conn):
+                if what & select.EPOLLOUT or what & (select.EPOLLERR | select.EPOLLHUP):
+                    found.writable = True
+                if what & ~select.EPOLLOUT:
+                    found.readable = True
+                if what & (select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR):
+                    found.hung = True
+                self.wake(found.owner)
+            else:
+                self.wake(found)
+        self.polled_at = clock()
+
+    def look(self) -> None:
+        """See what has come since this round began, for who acts on a peer's being there.
+
+        Guards against a long round: who left at its beginning would be found out only after its end.
+        """
+        if clock() - self.polled_at >= STALE:
+            self._poll(0)
 
 
 def open_listener(address: Address) -> socket.socket:
@@ -536,6 +587,7 @@
         self.loop, self.sock, self.name, self.serve, self.urgent = loop, sock, name, serve, urgent
         self.sock.setblocking(False)
         self.waiting = False
+        self.serving = 0  # connections taken here and not done with
         self.local = sock.family == socket.AF_UNIX  # between the processes of this proxy
         self.address: Address = ("", 0) if self.local else self.sock.getsockname()[:2]
         if not self.local:
@@ -571,7 +623,9 @@
                 log("listener.waits", f"{self.name} listener: {error}; waiting for a connection to end")
                 return
             if not self.local:
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                with contextlib.suppress(OSError):  # reset meanwhile: its own coroutine finds that out
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.serving += 1
             task = self.loop.spawn(iter(()), self.name, self.urgent)  # type: ignore[arg-type]
             conn = Conn(self.loop, sock, task)
             conn.writable = conn.readable = True
@@ -582,6 +636,7 @@
             yield from self.serve(conn)
         finally:
             conn.close()
+            self.serving -= 1
             if self.loop.spare < 0:
                 with contextlib.suppress(OSError):
                     self.loop.spare = os.open("/dev/null", os.O_RDONLY)
--- a/arrowseam/net/nats.py
+++ b/arrowseam/net/nats.py
@@ -20,7 +20,7 @@
 from arrowseam.facade import Invocation
 from arrowseam.net.address import Address, parse_address
 from arrowseam.net.loop import SECOND, Buffer, Conn, Framer, Loop, Passage, Steps, clock
-from arrowseam.relay import REJECT_MS, Consumer, Relay
+from arrowseam.relay import Consumer, Relay
 
 CONTROL_LINE = 4096  # longest control line, without its end, that a client may send
 SERVER_LINE = 32768  # servers' INFO may be longer
@@ -96,6 +96,10 @@
     return found
 
 
+def refusal(retry_ms: int) -> str:
+    return "Maximum Connections Exceeded" + (f", Retry After {retry_ms} ms" if retry_ms > 0 else "")
+
+
 def error_line(text: str) -> bytes:
     return f"-ERR '{text}'\r\n".encode()
 
@@ -290,6 +294,8 @@
                         if info.get("tls_required") is True:
                             return "error"
                         if not sent:
+                            if not self.fits():
+                                return "off"
                             sent = True
                             hello = b"CONNECT " + self.connect + b"\r\nPING\r\n"
                             if not (yield from server.send(hello, due)):
@@ -300,7 +306,9 @@
                         return "up"
                     elif op.verb == b"PING" and not (yield from server.send(b"PONG\r\n", due)):
                         return "reset"
-                    continue
+                    yield from self.loop.rest()  # one that greets for ever must not have the loop to itself
+                    if not (stop() or clock() >= due):
+                        continue
             except ProtocolError:
                 return "error"
             if server.eof:
@@ -363,7 +371,7 @@
 
     def reject(self, retry_ms: int) -> Steps[None]:
         # NATS has no word for 'come back later'; clients know the first part, people read the second.
-        yield from self.answer(error_line(f"Maximum Connections Exceeded, Retry After {retry_ms} ms"))
+        yield from self.answer(error_line(refusal(retry_ms)))
 
     def fail(self) -> Steps[None]:
         yield from self.answer(error_line("Upstream Failed"))
@@ -395,7 +403,7 @@
     def serve(self, conn: Conn) -> Steps[None]:
         conn.inbox.limit = 2 * CONTROL_LINE
         due = clock() + GREETING
-        full = f"Maximum Connections Exceeded, Retry After {REJECT_MS} ms"
+        full = refusal(self.relay.retry_ms)
         if not self.loop.make_room():
             yield from self._refuse(conn, full)
             return
@@ -466,6 +474,8 @@
                 continue
             if conn.eof:
                 return None
+            if self.relay.closing:
+                raise ProtocolError(refusal(self.relay.retry_ms))
             if clock() >= due:
                 raise ProtocolError("Authentication Timeout")
             yield due
--- a/arrowseam/proxy.py
+++ b/arrowseam/proxy.py
@@ -128,6 +128,7 @@
         relay.probe = lambda server: loop.spawn(
             lines.probe(loop, facade, server, relay.address(server)), "probe"
         )
+        self.directory.begin()
         if self.members is not None and operator is not None and operator.servers:
             from arrowseam.members.files import PRIMED_WITHIN
 
@@ -135,7 +136,7 @@
             members = self.members
             loop.until(lambda: members.primed, clock() + PRIMED_WITHIN)
         self.front = front = lines.LineFront(loop, config, relay)
-        relay.listeners.append(self.listen(parse_address(config.listen), "front", front.serve).close)
+        relay.listeners.append(self.listen(parse_address(config.listen), "front", front.serve))
         self.control: control.Control | None = None
         if config.control:
             self.control = control.Control(loop, relay)
@@ -148,14 +149,14 @@
         self.nats_front: nats.NatsFront | None = None
         if second is not None:
             self.nats_front = nats.NatsFront(loop, config, second, relay)
-            relay.listeners.append(self.listen(second.listen, "nats", self.nats_front.serve).close)
+            relay.listeners.append(self.listen(second.listen, "nats", self.nats_front.serve))
             health = Health(relay)
             for address, name, answer in (
                 (second.agent, "agent", health.agent),
                 (second.health, "health", health.http),
             ):
                 if address is not None:
-                    relay.listeners.append(self.listen(address, name, answer).close)
+                    relay.listeners.append(self.listen(address, name, answer))
         if station is not None:
             self._share(station, offer)
         self.keeper: Keeper | None = None
@@ -372,6 +373,7 @@
         self.relay.facade.retune(config)
         if renumbered:
             self.directory.ask(whole=True)
+        self.directory.begin()
         if self.members is not None and operator is not None:
             self.members.config = config
             if renumbered:
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -18,7 +18,7 @@
 from arrowseam.facade import Call, Facade, Invocation, Left, Rejection
 from arrowseam.logs import log
 from arrowseam.net.address import Address, parse_address
-from arrowseam.net.loop import MS, SECOND, Conn, Loop, Passage, Steps, clock
+from arrowseam.net.loop import MS, SECOND, Conn, Listener, Loop, Passage, Steps, clock
 
 # A server that brings nothing back for so long though it was asked is taken for lost: sound ones answer
 # within a millisecond, and a consumer that stays there is served nothing.
@@ -29,6 +29,8 @@
 DRAIN_CAP = 3 * SECOND  # a longer deadline counts as this
 DRAIN_EXTRA = 700 * MS  # from the deadline to the end of the process
 DRAIN_SPARE = 1100 * MS  # by so much earlier the last consumer has been told
+DRAIN_QUEUE = 150 * MS  # from the start of the moves, at least, until nobody is taken any more
+DRAIN_LEFT = 100 * MS  # before the end allowed whoever has had an answer and still does not go is left
 
 
 def _nothing() -> None:
@@ -41,6 +43,8 @@
     passage: Passage | None = None  # once it is established
     early = 16384  # bytes that a server may say before it is passed through
     sent: Callable[[], None] = staticmethod(lambda: None)  # the opening is wholly written to a server
+    # Asked right before the opening is written, and the last word on it: whether it may be.
+    fits: Callable[[], bool] = staticmethod(lambda: True)
 
     def __init__(self, loop: Loop, conn: Conn, connect_timeout: int) -> None:
         self.loop, self.conn = loop, conn
@@ -50,7 +54,10 @@
 
     @abstractmethod
     def greet(self, server: Conn, due: int, stop: Callable[[], bool]) -> Steps[str]:
-        """Say what is to be said to a server that is connected; 'up' with a passage, or how it ended."""
+        """Say what is to be said to a server that is connected; 'up' with a passage, or how it ended.
+
+        The opening is written only if ``fits`` says so then, else the end is 'off'.
+        """
 
     @abstractmethod
     def step(self) -> str | None:
@@ -91,10 +98,12 @@
         address = self.address(server_name, found)
         if address is None:
             return "unreachable"
+        if self.loop.spent and not self.loop.make_room():
+            return "off"  # for want of descriptors here, which says nothing of the server
         connect_due = min(due, clock() + self.connect_timeout)
         server = yield from self.loop.connect(address, connect_due, stop)
         if server is None:
-            return "off" if stop() else "timeout" if clock() >= due > connect_due else "unreachable"
+            return "off" if stop() else "unreachable"  # nothing was written: it has never run
         server.inbox.limit = self.early
         end = "reset"
         try:
@@ -159,7 +168,8 @@
         self.draining = False
         self.trace = False  # log every call and every end
         self.random = random.Random(config.seed)
-        self.listeners: list[Callable[[], None]] = []  # closed when the drain is over
+        self.listeners: list[Listener] = []  # closed when the drain is over
+        self.closing = False  # they are: who has not said yet what it wants is answered and ended
         # Set while another process of this proxy takes what stands; whether it has been sent there.
         self.pass_on: Callable[[Invocation, Consumer], bool] | None = None
         self.pending: Callable[[], bool] = lambda: False  # whether some of it is still on its way there
@@ -180,6 +190,19 @@
             invocation.wake()
         return turn.wake_at
 
+    @property
+    def retry_ms(self) -> int:
+        """When to come again, where it is not the module that refuses; 0 where the settings allow none."""
+        limits = self.config.settings.limits
+        return min(REJECT_MS, limits.max_retry_after // MS) if limits.retry_after else 0
+
+    def _fits(self, invocation: Invocation) -> bool:
+        """Whether the opening may go to its server now: the client is there, nothing forbids it since."""
+        self.loop.look()
+        if invocation.server:
+            return not invocation.left()
+        return not invocation.stop() and self.facade.may_begin(invocation)
+
     def dispatched(self, invocation: Invocation) -> None:
         """A front has written the whole opening to a server."""
         invocation.written = True
@@ -201,6 +224,12 @@
     # --- one invocation ---
 
     def serve(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
+        """From the opening that a front has read to the end of the connection."""
+        if self.draining and self.pass_on is None:
+            # Read after the word to end: there is no telling that its answer would still come in time.
+            self._answered(invocation, "overload")
+            yield from consumer.reject(self.retry_ms)
+            return
         yield from self._serve(invocation, consumer, self._place)
 
     def _serve(
@@ -215,6 +244,7 @@
         task = self.loop.current
         invocation.wake = lambda: self.loop.wake(task)
         consumer.sent = lambda: self.dispatched(invocation)
+        consumer.fits = lambda: self._fits(invocation)
         try:
             yield from life(invocation, consumer)
         except Exception:
@@ -230,12 +260,20 @@
             del self.live[number]
             # Each knows the other by these: left so, only the collector would free what a connection held.
             consumer.sent = invocation.wake = _nothing
+            consumer.fits = bool
 
     def _place(self, invocation: Invocation, consumer: Consumer) -> Steps[None]:
-        if invocation.server:
-            if (yield from self._resume(invocation, consumer)):
-                yield from self._hold(invocation, consumer)
-            return
+        find = self._resume if invocation.server else self._find
+        self.loop.promised += 1
+        try:
+            stands = yield from find(invocation, consumer)
+        finally:
+            self.loop.promised -= 1
+        if stands:
+            yield from self._hold(invocation, consumer)
+
+    def _find(self, invocation: Invocation, consumer: Consumer) -> Steps[bool]:
+        """Try one server after the other as the module says, or give the final answer; whether it stands."""
         began = clock()
         while True:
             answer = yield from self.facade.pick(invocation)
@@ -250,19 +288,18 @@
                     self._up(began)
                     self._answered(invocation, "success")
                     self.facade.report(invocation, "up")
-                    yield from self._hold(invocation, consumer)
-                    return
+                    return True
                 if end == "ok":
                     self._answered(invocation, "success")
                     self.facade.report(invocation, "ok")
                     invocation.over = True
                     yield from consumer.finish(clock() + SECOND)
-                    return
-                if end == "off":  # called off, or the consumer has left, which pick sees
+                    return False
+                if end == "off":  # called off, forbidden meanwhile, or the consumer has left, which pick sees
                     end = "moved" if invocation.written else "unsent"
                 self.facade.report(invocation, end)
             elif isinstance(answer, Left):
-                return
+                return False
             elif isinstance(answer, Rejection):
                 if self.trace:
                     log(
@@ -273,11 +310,11 @@
                     )
                 self._answered(invocation, "overload")
                 yield from consumer.reject(answer.retry_ms)
-                return
+                return False
             else:
                 self._answered(invocation, "error")
                 yield from consumer.fail()
-                return
+                return False
 
     def _note_call(self, invocation: Invocation, server: str, end: str, began: int) -> None:
         if not self.trace:
@@ -400,12 +437,18 @@
             self.loop.spawn(self._drain(clock()), "drain")
 
     def _drain(self, began: int) -> Steps[None]:
-        """Go on serving while consumers come; move those that stand, spread over the time there is."""
-        last = began + min(self.config.longest_deadline, DRAIN_CAP) + DRAIN_EXTRA - DRAIN_SPARE
+        """Move those that stand, spread over the time there is, and answer all others; then end.
+
+        Whoever connects meanwhile is taken and refused. At the last moment nobody is taken any more, all that
+        waited to be is answered too, and the process does not wait for peers that have had their answer and
+        will not go.
+        """
+        allowed = min(self.config.longest_deadline, DRAIN_CAP) + DRAIN_EXTRA
+        last, end = began + allowed - DRAIN_SPARE, began + allowed - DRAIN_LEFT
         start = began + DRAIN_START
         while clock() < start:
             yield start
-        while self.live or clock() < start + 150 * MS:
+        while True:
             now = clock()
             standing = [i for i in self.live.values() if i.open and not i.move]
             # What is left, over what is left of the time; all that remains at the last moment.
@@ -416,15 +459,20 @@
                 invocation.wake()
             if now >= last:
                 for invocation in self.live.values():
-                    if not invocation.open:
-                        invocation.dismissed_ms = REJECT_MS
+                    if not invocation.open and not invocation.dismissed:
+                        invocation.dismissed = True
                         invocation.wake()
-            pause = now + 50 * MS
+            if not self.closing and now >= start + DRAIN_QUEUE and (now >= last or not self.live):
+                for listener in self.listeners:
+                    listener.close()
+                self.closing = True
+                for conn in list(self.loop.expendable):
+                    self.loop.wake(conn.owner)
+            serving = self.live or self.pending() or any(one.serving for one in self.listeners)
+            if self.closing and (not serving or (now >= end and self.pass_on is None)):
+                break
+            pause = now + (20 if self.closing else 50) * MS
             while clock() < pause:
                 yield pause
-        for close in self.listeners:
-            close()
-        while self.live or self.pending():
-            yield clock() + 20 * MS
         log("drain.done", "drained")
         self.loop.stopped = True
