--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -376,6 +376,91 @@
     assert consumer.has("rejected") and consumer.answers == 1
 
 
+def test_a_server_that_drains_while_a_request_waits_is_not_chosen(world):
+    w = world("up", "up", known=False)
+    raw = Raw(w).open()
+    w.until(lambda: w.relay.live)
+    w.tell(s0={"lifecycle": "Terminating"}, s1={})
+    w.until(lambda: raw.has("up"))
+    assert not w.servers[0].heard and len(w.servers[1].heard) == 1
+
+
+# --- the end of an attempt --------------------------------------------------------------------------------
+
+
+def test_an_answer_in_the_round_of_its_time_out_is_the_only_one(world, monkeypatch):
+    """The process stood still past the time-out, and the answer had come meanwhile: it is taken, or the
+    server is left and hears no more; never both."""
+    w = world("silent", "silent")
+    raw = Raw(w).open()
+    w.until(openings_of(w))
+    first = next(s for s in w.servers if s.heard)
+    first.say(b"UP r1\r\n" if w.wire == "lines" else b"PONG\r\n")
+    stall(1.0)  # the attempt had 360 ms
+    w.run(0.3)
+    assert w.most_flying <= 1 and openings(w) == 1
+    assert raw.got.count(w.words["up"]) <= 1 and not raw.has("rejected") and not raw.has("failed")
+
+
+def test_a_late_answer_of_a_server_that_was_given_up_goes_to_nobody(world):
+    w = world("silent", "up")
+    seen = [Raw(w).open(n) for n in range(1, 9)]
+    late = w.servers[0]
+    w.until(lambda: late.live)
+    answered: list[Conn] = []
+
+    def speaks_late() -> bool:
+        """Each time one of its connections is given up, it answers there all the same."""
+        for conn in late.live:
+            if conn.hung and conn not in answered:
+                answered.append(conn)
+                conn.push(b"UP late\r\n" if w.wire == "lines" else b"PONG\r\n")
+        return all(c.has("up") or c.ended() for c in seen)
+
+    w.until(speaks_late)
+    w.run(0.1)
+    assert all(c.read().count(w.words["up"]) <= 1 and b"late" not in c.got for c in seen)
+    assert any(c.has("up") for c in seen)
+
+
+@pytest.mark.parametrize("said", [b"", b"UP", b"UP r1", b"LOAD 1\r\nUP r"])
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_answer_that_breaks_off_is_none(plain, said, reset):
+    w = plain("silent", "silent", "up")
+    consumer = w.consumer()
+
+    def broken_off() -> bool:
+        for server in w.servers[:2]:
+            for conn in list(server.live):
+                if any(b"OPEN" in got for got in server.heard) and not conn.closed:
+                    conn.push(said)
+                    conn.close(reset=reset)
+        return consumer.answers > 0
+
+    w.until(broken_off)
+    assert consumer.has("up") and consumer.answers == 1 and bytes(consumer.got).count(b"UP") == 1
+
+
+def test_a_connection_that_never_comes_up_is_left_at_its_limit_and_has_never_run(world):
+    """Whatever the class: nothing was written, so the next server is asked, or it is refused."""
+    w = world("up", **lane("fragile"))
+    full = socket.create_server(("127.0.0.1", 0), backlog=0)
+    taken = [socket.socket() for _ in range(4)]
+    for one in taken:
+        one.setblocking(False)
+        one.connect_ex(full.getsockname())
+    address = w.relay.address
+    w.relay.address = lambda server: full.getsockname() if address(server) else None
+    if w.wire == "nats":
+        object.__setattr__(w.proxy.nats_front.nats, "overrides", {})
+        object.__setattr__(w.proxy.nats_front.nats, "server_port", full.getsockname()[1])
+    raw, began = Raw(w).open(), clock()
+    w.until(raw.ended)
+    assert raw.has("rejected") and not raw.has("failed") and clock() - began < 1.9 * SECOND
+    for one in [full, *taken]:
+        one.close()
+
+
 # --- closing ----------------------------------------------------------------------------------------------
 
 
@@ -428,6 +513,41 @@
     assert b"BUSY\r\n" in raw.got if w.wire == "lines" else b"Maximum Connections Exceeded'" in raw.got
 
 
+def test_a_peer_that_never_closes_is_bounded_in_time_and_count(world):
+    w = world("busy")
+    base = len(w.loop.conns)
+    seen = [Raw(w).open(n) for n in range(30)]
+    w.until(lambda: all(c.has("rejected") for c in seen))
+    began = clock()
+    w.until(lambda: len(w.loop.conns) <= base + 4, 4)  # the directory's two connections, and what it asks
+    assert clock() - began < 2 * SECOND
+    assert not any(c.reset for c in seen)
+
+
+@pytest.mark.parametrize("side", ["client", "server"])
+def test_what_was_said_just_before_an_end_arrives_before_it(world, side):
+    """Small words, one right after the other, the last of them with the end behind it, in both directions."""
+    w = world("up")
+    raw = Raw(w).open()
+    w.until(lambda: raw.has("up"))
+    words = [w.words["half"] + w.words["rest"]] * 20 if side == "server" else [w.words["ask"]] * 20
+    w.until(lambda: w.servers[0].live)
+    got = w.servers[0].heard[0]
+    if side == "server":
+        conn = w.servers[0].live[0]
+        for word in words:
+            assert conn.push(word) == len(word)
+        conn.close()
+        w.until(raw.ended)
+        assert raw.got.endswith(b"".join(words)) and not raw.reset
+    else:
+        for word in words:
+            raw.sock.sendall(word)
+        raw.sock.shutdown(socket.SHUT_WR)
+        w.until(lambda: bytes(got).endswith(b"".join(words)))
+        w.until(lambda: not w.relay.live)
+
+
 # --- descriptors ------------------------------------------------------------------------------------------
 
 
@@ -518,6 +638,46 @@
         flood.stdout.close()
 
 
+def test_a_good_client_is_served_among_many_that_are_idle_slow_or_noisy(world):
+    w = world("up")
+    w.until(lambda: w.calls)
+    w.loop.sockets = len(w.loop.conns) + 150
+    idle = [Raw(w) for _ in range(60)]
+    slow = [Raw(w) for _ in range(60)]
+    noisy = [Raw(w) for _ in range(10)]
+    for one in noisy:
+        one.sock.setblocking(False)
+        one.sock.send(b"k" * 65536)
+        one.sock.close()
+    typed = 0
+
+    def typing() -> bool:
+        nonlocal typed
+        typed += 1
+        for one in slow:
+            try:
+                one.sock.send(b"O" if w.wire == "lines" else b"C")
+            except OSError:
+                continue
+        return typed > 20
+
+    w.until(typing)
+    good = Raw(w).open()
+    began = clock()
+    w.until(lambda: typing() and good.has("up"))
+    assert clock() - began < SECOND
+    most = 0
+
+    def gone() -> bool:
+        nonlocal most
+        typing()
+        most = max(most, sum(isinstance(c, Conn) for c in w.loop.conns.values()))
+        return all(c.ended() for c in [*idle, *slow])
+
+    w.until(gone, 6)  # by themselves, and with a word
+    assert most <= w.loop.sockets and not good.ended()
+
+
 # --- discovery --------------------------------------------------------------------------------------------
 
 LIST = '{"generation":%d,"reset":true,"instances":[%s]}'
