Cold backends: a surge is told from chance, who comes again is rationed as before

Cause: at 200 relays a relay sees half a connection a second; its rate of the last 2 s is mostly chance, that of a new process counts as one a second, and both cut what a cold backend got by half; who comes again was cut as well, whose sums had kept within (_afford). Now a surge counts from three arrivals on, a rate once it has been seen for as long as a backend takes to fall, quotas as the part of capacity that they are (QUOTA_PART), and only first tries are bounded.

tests/test_cold_fleet.py passes.

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -164,6 +164,7 @@
 # A request asks this many rationed backends before it is held: asking all would, on a large fleet, find
 # some chance of admission everywhere and undo the ration.
 DENIALS = 2
+SURGE = 3.0  # arrivals in the time in which a cold backend falls: with fewer it may be chance
 AHEAD = 0.25  # of what a cold backend may be sent in the time in which it falls, what may be saved up for it
 RATE_SPAN = 10.0 * SECOND  # arrivals are averaged over this span
 LEAST_SEEN = 4.0  # under way when one fails: with fewer it may be chance
@@ -324,8 +325,8 @@
         # Where no slow message is told, reports tell, and come less often.
         self.slow_life = SLOW_LIFE if settings.tells_delay else REPORT_LIFE
         self.capacity = sum(t.connections for t in settings.tenants) / QUOTA_PART  # connections, all relays'
-        # New connections a microsecond that the fleet surely takes, from all relays; 0 = not told.
-        self.takes = sum(t.rate for t in settings.tenants) / SECOND
+        # New connections a microsecond that the fleet takes, from all relays; 0 = not told.
+        self.takes = sum(t.rate for t in settings.tenants) / QUOTA_PART / SECOND
 
     def _on_retune(self, event: api.Retune) -> None:
         if len(event.kept) != len(event.settings.classes):
@@ -608,35 +609,41 @@
         strikes = self._strikes(server)
         warmth = self._warmth(server) if server.born else 1.0
         rules = self.settings.rules
-        # What of its design traffic a backend may get. While the fleet shows no strain it runs at no more
-        # than about half of what it can do, and the design traffic is that much further from the limit; but
-        # a surge is on its way to all relays at once before it strains anything.
+        # What of its design traffic a backend may get: while the fleet shows no strain it runs at no more
+        # than about half of what it can do, so the design traffic is that much further from the limit.
         part: float = 0.5 ** float(strikes)
-        usual, share = self._rate(), server.share / self.total
         if warmth < 1.0:
             part *= rules.fall_multiple * warmth
-            rate = max(usual, self.lately / rules.overload_for)
-            if self.takes:
-                # What all relays may send it, by its size. Each sees to its own part of that: where that is
-                # connections, by counting them; where it is less than one, by the arrivals that it sees.
-                own = part * self.takes * server.listed / max(1, self.sound) / self.settings.relays
-                part = min(part * (1.0 + self._calm()), own / (share * rate))
-                if fresh:
-                    return self._spend(server, own, part)
-            else:
-                part *= usual / rate
+            if fresh:
+                return self._spend(server, part)
+            part *= 1.0 + self._calm()
         if fresh:
             return self.random() < part
-        rate = part * share * usual
+        rate = part * server.share / self.total * self._rate()
         accrued = max(0.0, server.tokens) + rate * (self.now - server.tokens_at)
         tokens = min(max(part, rate * rules.overload_for), accrued)
         server.tokens_at = self.now
         server.tokens = max(0.0, tokens - 1.0)
         return self.random() < tokens
 
-    def _spend(self, server: Server, own: float, part: float) -> bool:
-        """Whether a first try goes to a cold backend: by this part of them, and within what has accrued."""
-        window = own * self.settings.rules.overload_for
+    def _spend(self, server: Server, part: float) -> bool:
+        """Whether a first try goes to a cold backend, which may have this part of what it takes when warm.
+
+        Guards against a surge, which is on its way to all relays at once before it strains anything.
+        """
+        rules = self.settings.rules
+        usual, now = self._rate(), self.lately / rules.overload_for
+        if self.lately < SURGE or self.rate_seen < rules.overload_for:
+            now = usual  # too few to tell
+        if not self.takes:
+            return self.random() < part * min(1.0, usual / now)
+        # What all relays may send it, by its size. Each sees to its own part of that: where that is
+        # connections, by counting them; where it is less than one, by the arrivals that it sees.
+        own = part * self.takes * server.listed / max(1, self.sound) / self.settings.relays
+        part *= 1.0 + self._calm()
+        if self.rate_seen >= rules.overload_for:
+            part = min(part, own / (server.share / self.total * max(usual, now)))
+        window = own * rules.overload_for
         start = server.tokens if server.tokens >= 0.0 else max(0.0, 1.0 - window)
         tokens = min(max(1.0, window * AHEAD), start + own * (self.now - server.tokens_at))
         server.tokens_at = self.now
