Cold backends: at 200 relays only a surge is held back; descriptors looked at once more

Cause: equal parts of a cold backend's budget, where a few relays see most arrivals, leave most of it unused (_spend: own over what this one sees). Now a part under a twentieth of a connection is not kept to; a surge of half as much again is.

--- a/arrowseam/balance.py
+++ b/arrowseam/balance.py
@@ -164,7 +164,10 @@
 # A request asks this many rationed backends before it is held: asking all would, on a large fleet, find
 # some chance of admission everywhere and undo the ration.
 DENIALS = 2
-SURGE = 3.0  # arrivals in the time in which a cold backend falls: with fewer it may be chance
+# Arrivals in the time in which a cold backend falls that may be a surge, and how many times the usual: with
+# fewer it may be chance.
+SURGE, SURGE_RATIO = 2.0, 1.5
+THINNEST = 0.05  # of a connection, a relay's part of what a cold backend may be sent in that time
 AHEAD = 0.25  # of what a cold backend may be sent in the time in which it falls, what may be saved up for it
 RATE_SPAN = 10.0 * SECOND  # arrivals are averaged over this span
 LEAST_SEEN = 4.0  # under way when one fails: with fewer it may be chance
@@ -633,17 +636,19 @@
         """
         rules = self.settings.rules
         usual, now = self._rate(), self.lately / rules.overload_for
-        if self.lately < SURGE or self.rate_seen < rules.overload_for:
-            now = usual  # too few to tell
-        if not self.takes:
-            return self.random() < part * min(1.0, usual / now)
-        # What all relays may send it, by its size. Each sees to its own part of that: where that is
-        # connections, by counting them; where it is less than one, by the arrivals that it sees.
+        seen = self.rate_seen >= rules.overload_for
+        if self.lately < SURGE or now < SURGE_RATIO * usual or not seen:
+            now = usual  # as ever, or too few to tell
+        # What all relays may send it, by its size, and this one's part of that.
         own = part * self.takes * server.listed / max(1, self.sound) / self.settings.relays
-        part *= 1.0 + self._calm()
-        if self.rate_seen >= rules.overload_for:
-            part = min(part, own / (server.share / self.total * max(usual, now)))
         window = own * rules.overload_for
+        if window < THINNEST:
+            # Arrivals are not spread evenly over so many: to keep each to its part would leave most of it
+            # unused, and chance is several times what one may send. All see the same surge.
+            return self.random() < part * (1.0 + (self._calm() if self.takes else 0.0)) * usual / now
+        part *= 1.0 + self._calm()
+        if seen:
+            part = min(part, own / (server.share / self.total * now))
         start = server.tokens if server.tokens >= 0.0 else max(0.0, 1.0 - window)
         tokens = min(max(1.0, window * AHEAD), start + own * (self.now - server.tokens_at))
         server.tokens_at = self.now
--- a/arrowseam/relay.py
+++ b/arrowseam/relay.py
@@ -98,8 +98,10 @@
         address = self.address(server_name, found)
         if address is None:
             return "unreachable"
-        if self.loop.spent and not self.loop.make_room():
-            return "off"  # for want of descriptors here, which says nothing of the server
+        if self.loop.spent:
+            self.loop.make_room()
+            if self.loop.spent:
+                return "off"  # for want of descriptors here, which says nothing of the server
         connect_due = min(due, clock() + self.connect_timeout)
         server = yield from self.loop.connect(address, connect_due, stop)
         if server is None:
