--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -131,12 +131,15 @@
     assert not any(c.reset for c in late) and not openings(w)
 
 
+@pytest.mark.parametrize("half", [0, 6])
 @pytest.mark.parametrize("speaks", [False, True])
 def test_who_rests_as_the_process_ends_has_a_word_also_if_it_speaks_in_that_instant(
-    world, monkeypatch, speaks
+    world, monkeypatch, speaks, half
 ):
+    """Having said nothing, or half a line."""
     w = world("up")
     resting = Raw(w)
+    resting.sock.sendall(w.words["open"](1, b"tech")[:half])
     w.until(lambda: len(w.loop.expendable) == 1)
     end = Conn.end
 
@@ -177,6 +180,21 @@
     return lambda: openings(w)
 
 
+def test_a_request_between_two_attempts_at_the_end_has_one_answer_and_no_further_attempt(world):
+    """Its server has refused it, and none other is to be had before the last moment."""
+    w = world("busy", "up", known=False)
+    consumer = w.consumer()
+    w.until(lambda: w.relay.live)
+    w.tell(s0={})
+    w.until(openings_of(w))
+    w.relay.drain()
+    w.until(lambda: consumer.ended_at)
+    assert consumer.has("rejected") and consumer.answers == 1 and openings(w) == 1
+    w.tell(s1={})
+    w.until(lambda: w.relay.closing)
+    assert not w.servers[1].heard
+
+
 def test_what_could_not_have_run_is_refused_at_the_end_whatever_its_class(world):
     w = world("up", known=False, **lane("fragile"))
     consumer = w.consumer()
