Discovery: a complete list asked for during a poll is fetched after it

Callers saw: after a reload with other zones or machine types, endpoints kept the old numbering, so callers were placed by an old list until the service sent a complete one by itself.

Cause: needs_complete_list is one flag. The end of any successful call cleared it, also of a poll that had begun before the request; a poll is under way nearly always.

Evidence: on loopback, a reload with other zones during a poll. The next call was /api/targets?since=2&timeout_ms=4000, the endpoint stayed in zone 0. The new test failed so on both protocols.

Why it works: a call takes the flag at its beginning and returns it only if it fails; what is set meanwhile is left for the next call. The test passes; test_retune.py (57) and the discovery tests of test_endings.py (43) pass.

--- a/arrowseam/protocols/discovery.py
+++ b/arrowseam/protocols/discovery.py
@@ -151,9 +151,12 @@
             while not self.is_requested:
                 yield None
             started_at, version = clock(), self.version
+            # Asked for again while this call is under way, the complete list is asked for after it.
+            asks_complete, self.needs_complete_list = self.needs_complete_list, False
             try:
-                yield from self._poll(address)
+                yield from self._poll(address, asks_complete)
             except (HttpCallError, h11.ProtocolError) as error:
+                self.needs_complete_list |= asks_complete
                 self._on_failure(error)
                 continue
             if self.trace:
@@ -162,9 +165,9 @@
             while self.version == version and clock() < next_at:
                 yield next_at
 
-    def _poll(self, address: Address) -> Coroutine[None]:
+    def _poll(self, address: Address, asks_complete: bool) -> Coroutine[None]:
         """One call; raises HttpCallError or h11.ProtocolError."""
-        if self.needs_complete_list:
+        if asks_complete:
             wait, overtime, query = 0, COMPLETE_LIST_TIMEOUT, ""
         else:
             wait, overtime = self._poll_times()
@@ -179,7 +182,6 @@
         if document.get("generation") is None:
             raise HttpCallError("bad answer: list: generation is missing")
         self._apply(document, read)
-        self.needs_complete_list = False
 
     def _poll_times(self) -> tuple[int, int]:
         """How long a poll waits for changes, and by how much later its response may come."""
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -170,6 +170,21 @@
     assert len(w.calls) == calls
 
 
+def test_a_complete_list_asked_for_during_a_poll_is_fetched_after_it(world, tmp_path):
+    """A reload numbers the zones anew while a poll runs: the endpoints kept their old zones."""
+    w = world("up")
+    w.told = [w.servers[0].row]
+    w.until(lambda: w.calls and "since=" in w.calls[-1][1])
+    (endpoint,) = w.driver.balancer.endpoints.by_id.values()
+    assert endpoint.zone == 0
+    reload(w, tmp_path, changed(w, "settings", "zones", value=["y", "z"]))
+    calls = len(w.calls)
+    w.version += 1  # the poll ends
+    w.until(lambda: len(w.calls) > calls + 1)
+    assert [target.partition("?")[0] != target for _, target in w.calls[calls : calls + 2]] == [False, True]
+    assert w.proxy.driver.balancer.endpoints.by_id[endpoint.endpoint_id].zone == 1
+
+
 def test_the_new_number_of_attempts_binds_what_comes_after_it(world, tmp_path):
     w = world("busy", "busy", "busy")
     reload(w, tmp_path, changed(w, "settings", "caps", "max_attempts", value=1))
