Signals: a process ends with status 0 whatever signals come as it starts and ends

Cause: before the interpreter ends it gives signals with Python handlers their default actions back; before the proxy was built none had a handler.

Evidence: with a series every 2 ms from SIGTERM on, all of four series (TERM, INT, HUP, all) ended with -15, -2, -1, -15; a start held up while it reads its configuration was ended by each of the three. All seven new tests failed so.

Why it works: serve records signals before its imports and replays them once the loop handles them; told to end before it listens it ends with 0 and takes over from nobody. After the loop signals are ignored, which the interpreter leaves as it is.

--- a/arrowseam/__main__.py
+++ b/arrowseam/__main__.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from arrowseam.cli import main
+import sys
+
+from arrowseam.process_signals import record_signals
+
+SERVE_COMMAND = "serve"
 
 if __name__ == "__main__":
+    if sys.argv[1:2] == [SERVE_COMMAND]:
+        record_signals()  # before the imports, which take most of the start
+    from arrowseam.cli import main
+
     main(prog_name="arrowseam")
--- a/arrowseam/cli/__init__.py
+++ b/arrowseam/cli/__init__.py
@@ -20,6 +20,12 @@
 from arrowseam.hot_restart.restart_socket import RestartSocket, shared_folder
 from arrowseam.logs import configure_logs, log
 from arrowseam.net.event_loop import EventLoop
+from arrowseam.process_signals import (
+    TERMINATION_SIGNALS,
+    ignore_signals,
+    is_termination_recorded,
+    replay_signals,
+)
 from arrowseam.proxy.configuration import read_nats_settings, read_proxy_config
 from arrowseam.proxy.server import Proxy
 
@@ -69,6 +75,9 @@
     config, nats_config, operator = read_files(path, nats_path, operator_path)
     if operator is not None:
         configure_logs(operator.log.format, operator.log.level)
+    if is_termination_recorded():
+        log("process.not_started", "told to end before the start")
+        return  # before a process that serves hands over to this one
     loop = EventLoop(config.descriptor_limit)
     restart_socket = RestartSocket(shared_folder(), config.name, config.listen)
     try:
@@ -78,12 +87,14 @@
         sys.exit(1)
     proxy.reloader.config_path = path
     proxy.request_handler.trace.enabled = proxy.discovery.trace = trace
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in TERMINATION_SIGNALS:
         loop.on_signal(number, proxy.drain)
     loop.on_signal(signal.SIGHUP, lambda: proxy.reload(path, nats_path, operator_path))
     name = config.name or os.getpid()
     log("process.started", f"arrowseam {__version__}: {name} listens on {config.listen}")
+    replay_signals()
     loop.run()
+    ignore_signals()
 
 
 @main.command("check-config")
--- a/arrowseam/logs/__init__.py
+++ b/arrowseam/logs/__init__.py
@@ -50,6 +50,7 @@
         "membership.cordon",
         "membership.proxy_share",
         "membership.started",
+        "process.not_started",
         "process.started",
         "reload.done",
         "reload.refused",
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,7 @@
 
 PACKAGE = Path(__file__).parent.parent / "arrowseam"
 LAYERS = (  # from the bottom up; packages of one layer do not import each other
-    ("__version__", "errors"),
+    ("__version__", "errors", "process_signals"),
     ("logs", "outcomes", "address"),
     ("balancer",),
     ("client_request", "endpoint_list", "config"),
--- /dev/null
+++ b/tests/test_process_signals.py
@@ -0,0 +1,144 @@
+"""Signals in series to a proxy's process, at its start, in its shutdown and at its end.
+
+A process that ends by a signal in place of status 0 is taken for a crash by its supervisor.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from network import SETTINGS, free_port
+
+from arrowseam.process_signals import HANDLED_SIGNALS
+
+SIGNAL_INTERVAL = 0.002  # seconds
+TIME_LIMIT = 20.0  # seconds, for each wait
+
+
+class ServeProcess:
+    """One ``serve`` whose configuration is a file, or a FIFO that holds its start up until it is written."""
+
+    def __init__(self, folder: Path, held: bool = False) -> None:
+        self.port, self.path, self.log = free_port(), folder / "config.json", folder / "log"
+        address = f"127.0.0.1:{self.port}"
+        doc = {"listen": address, "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS}
+        self.text = json.dumps(doc)
+        if held:
+            os.mkfifo(self.path)
+        else:
+            self.path.write_text(self.text)
+        words = [sys.executable, "-m", "arrowseam", "serve", "--config", str(self.path)]
+        with self.log.open("wb") as log:
+            environment = os.environ | {"TMPDIR": str(folder)}
+            self.process = subprocess.Popen(words, stdout=log, stderr=log, env=environment)
+
+    def wait_for(self, condition: str) -> None:
+        """Wait for a text in the log."""
+        end = time.monotonic() + TIME_LIMIT
+        while condition not in self.log.read_text():
+            assert time.monotonic() < end, self.log.read_text()
+            assert self.process.poll() is None, (self.process.returncode, self.log.read_text())
+            time.sleep(0.005)
+
+    def wait_until_it_reads(self) -> int:
+        """Wait until it opens the FIFO; returns the other end."""
+        end = time.monotonic() + TIME_LIMIT
+        while True:
+            try:
+                return os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError as error:
+                if error.errno != errno.ENXIO or time.monotonic() > end:
+                    raise
+            time.sleep(0.005)
+
+    def release(self, writer: int) -> None:
+        """Let it read its configuration, which is a plain file from then on."""
+        plain = self.path.with_suffix(".plain")
+        plain.write_text(self.text)
+        os.replace(plain, self.path)
+        os.write(writer, self.text.encode())
+        os.close(writer)
+
+    def answers(self) -> bool:
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), timeout=5) as conn:
+                conn.sendall(b"PING\r\n")
+                return conn.recv(100) == b"PONG\r\n"
+        except ConnectionRefusedError:
+            return False
+
+    def end_by(self, series: tuple[signal.Signals, ...]) -> int:
+        """Send SIGTERM, then the series until it has ended; returns its status."""
+        self.process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + TIME_LIMIT
+        while self.process.poll() is None and time.monotonic() < end:
+            for number in series:
+                self.process.send_signal(number)
+            time.sleep(SIGNAL_INTERVAL)
+        return self.process.wait(0.1)
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    (tmp_path / "run").mkdir()
+    return tmp_path / "run"
+
+
+@pytest.mark.parametrize("series", [*((number,) for number in HANDLED_SIGNALS), HANDLED_SIGNALS],
+                         ids=["term", "int", "hup", "all"])  # fmt: skip
+def test_signals_up_to_the_last_moment_of_a_shutdown_leave_the_status_0(folder, series) -> None:
+    """Signals came while the interpreter ended, when they had their default actions again."""
+    proxy = ServeProcess(folder)
+    try:
+        proxy.wait_for("listens on")
+        assert proxy.answers()
+        assert proxy.end_by(series) == 0
+        assert "drained\n" in proxy.log.read_text()
+    finally:
+        proxy.close()
+
+
+def test_a_sighup_at_the_start_is_a_reload_once_it_serves(folder) -> None:
+    """SIGHUP came before its handler was set, and ended the process."""
+    proxy = ServeProcess(folder, held=True)
+    try:
+        writer = proxy.wait_until_it_reads()
+        for _ in range(5):
+            proxy.process.send_signal(signal.SIGHUP)
+            time.sleep(SIGNAL_INTERVAL)
+        proxy.release(writer)
+        proxy.wait_for("reload: done")
+        assert proxy.answers()
+        assert proxy.log.read_text().count("reload: done") == 1
+        assert proxy.end_by(()) == 0
+    finally:
+        proxy.close()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_process_told_to_end_at_the_start_ends_before_it_listens(folder, number) -> None:
+    """SIGTERM came before its handler was set, and ended the process by the signal."""
+    proxy = ServeProcess(folder, held=True)
+    try:
+        writer = proxy.wait_until_it_reads()
+        proxy.process.send_signal(number)
+        time.sleep(SIGNAL_INTERVAL)
+        proxy.process.send_signal(signal.SIGHUP)
+        proxy.release(writer)
+        assert proxy.process.wait(TIME_LIMIT) == 0
+        assert "listens on" not in proxy.log.read_text()
+    finally:
+        proxy.close()
