Lab: the judge of silent zones sees each change of who can reach whom

Cause: who reaches whom was looked at twice a second.

The check is replaced by one that is stricter: the cluster counts changes of ways and processes, and the judge observes after each, so that a way is timed from its change and not from the next look, up to 0.5 s later.

--- a/arrowseam/lab/simulated_cluster.py
+++ b/arrowseam/lab/simulated_cluster.py
@@ -97,6 +97,7 @@
             self.zone_of = dict(zip(self.names, dealt))
         self.settings_of = {zone: self._settings_for(zone, seeds, abroad) for zone in self.zones or [""]}
         self.cut: set[tuple[str, str]] = set()  # (sender, receiver) between which nothing arrives
+        self.reachability_version = 0  # rises whenever who can reach whom may have changed
         self.off: set[str] = set()  # hosts without power: they refuse nothing
         self.skew: dict[str, int] = {}  # of a machine's wall clock, microseconds
         self.running: dict[str, Process] = {}
@@ -128,6 +129,7 @@
         zone = self.zone_of.setdefault(name, next(iter(self.settings_of)))
         me = record if record is not None else self.record(name)
         view = self.view_type(me, self.settings_of[zone], random.Random(self.rnd.getrandbits(64)))
+        self.reachability_version += 1
         process = self.running[name] = Process(
             name, view, ProxyCountInUse(view.evidence.proxy_count(self.share_rule))
         )
@@ -169,6 +171,7 @@
         """End a process without a farewell."""
         process = self.running.pop(name, None)
         if process is not None:
+            self.reachability_version += 1
             process.alive = False
             self._take(-process.units)
 
@@ -196,6 +199,7 @@
         """Let a process not run for ``span`` microseconds; what comes meanwhile waits."""
         process = self.running.get(name)
         if process is not None:
+            self.reachability_version += 1
             process.stalled_until = max(process.stalled_until, self.now + span)
             self.at(process.stalled_until, lambda: self._resume(process))
 
@@ -221,6 +225,7 @@
 
     def _resume(self, process: Process) -> None:
         if process.alive and process.stalled_until <= self.now:
+            self.reachability_version += 1
             waiting, process.waiting = process.waiting, []
             for act in waiting:
                 act()
@@ -360,11 +365,13 @@
             for b in theirs
         }
         self.cut |= ways
+        self.reachability_version += 1
         return ways
 
     def heal(self, ways: set[tuple[str, str]] | None = None) -> None:
         """End these cuts, or all."""
         self.cut = self.cut - ways if ways is not None else set()
+        self.reachability_version += 1
 
     # --- what a referee sees ---
 
--- a/arrowseam/lab/zone_schedule_player.py
+++ b/arrowseam/lab/zone_schedule_player.py
@@ -41,6 +41,7 @@
         self.net.watch = self._watch
         self.stood = stood
         self.reached: dict[str, tuple[Process, frozenset[str], int]] = {}  # who reaches each, since when
+        self.reachability_version = 0  # of the cluster, when ``reached`` was computed
         self.everywhere: list[int] = []  # microseconds until cordons were everywhere
 
     def _step(self, step: Step) -> None:
@@ -121,23 +122,35 @@
             found[name] = frozenset(seen)
         return found
 
-    def _look(self) -> None:
-        """Zones that are lost or cut are told as silent, and no others.
+    def _watch(self) -> None:
+        """After each event; a way that is open for less than a check interval can carry a message too."""
+        super()._watch()
+        if self.reachability_version != self.net.reachability_version:
+            self._observe_reach()
 
-        Nothing is owed to splinters: of two zones that are mostly cut off, the few that still reach each
-        other need not have each other's address, and hear late what the other has heard.
-        """
+    def _observe_reach(self) -> None:
         net = self.net
-        net.at(net.now + CHECK_INTERVAL, self._look)
+        self.reachability_version = net.reachability_version
         reach = {} if net.loss else self._reach()
         before, self.reached = self.reached, {}
-        whole = Counter(net.zone_of[name] for name in net.running)
         for name, those in reach.items():
             process = net.running[name]
             was = before.get(name)
             same = was is not None and was[0] is process and was[1] == those
             since = was[2] if was is not None and same else net.now
             self.reached[name] = process, those, since
+
+    def _look(self) -> None:
+        """Zones that are lost or cut are told as silent, and no others.
+
+        Nothing is owed to splinters: of two zones that are mostly cut off, the few that still reach each
+        other need not have each other's address, and hear late what the other has heard.
+        """
+        net = self.net
+        net.at(net.now + CHECK_INTERVAL, self._look)
+        self._observe_reach()
+        whole = Counter(net.zone_of[name] for name in net.running)
+        for process, those, since in self.reached.values():
             if net.now - since >= SILENT_KNOWN:
                 self._judge_silence(process, Counter(net.zone_of[other] for other in those), whole)
 
