Membership: a zone's heartbeat is as old as its zone says, however late it arrives

Operators saw a zone that had ended told as heard again, for 6 s and more after a heal or a start. It decides no share.

Cause: ZoneTable.merge_heartbeats dated each heartbeat that rose at its arrival. One that came late, over a thin way, after a heal or to a member that had just started, counted as new.

Why it works: datagrams and state syncs carry how long ago each zone raised its heartbeat (a byte a zone, 0.1 s), as far as the sender knows. Each hop rounds down and counts no transit, so an age is never too great: of two ages of one heartbeat the greater holds. Versions without ages ignore the field and count as telling new ones.

--- a/arrowseam/lab/mutants.py
+++ b/arrowseam/lab/mutants.py
@@ -379,11 +379,11 @@
 
 
 class _AnyHeartbeatHolds(ZoneTable):
-    def merge_heartbeats(self, now: int, encoded: bytes) -> bool:
+    def merge_heartbeats(self, now: int, encoded: bytes, ages: bytes = b"") -> bool:
         before = {zone.name: zone.heartbeat for zone in self.by_name.values()}
         for zone in self.by_name.values():
             zone.heartbeat = 0
-        known = super().merge_heartbeats(now, encoded)
+        known = super().merge_heartbeats(now, encoded, ages)
         for zone in self.by_name.values():
             zone.heartbeat = zone.heartbeat or before[zone.name]
         return known
--- a/arrowseam/membership/bridges.py
+++ b/arrowseam/membership/bridges.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from arrowseam.membership import codec
-from arrowseam.membership.codec import Datagram, MessageKind, ZoneSummary
+from arrowseam.membership.codec import Datagram, MessageKind, StateSync, ZoneSummary
 from arrowseam.membership.dissemination import ARRAY_HEADERS
 from arrowseam.membership.effects import MembershipEvent
 from arrowseam.membership.records import ENDED_STATES, Address, MemberRecord, State
@@ -95,6 +94,7 @@
             self.members.me,
             self.view.cordons.digest,
             heartbeats=zones.encoded_heartbeats(),
+            heartbeat_ages=zones.encoded_ages(self.context.now),
             contacts=contacts,
         )
         room = codec.DATAGRAM_MAX - len(codec.encode_datagram(bare)) - ARRAY_HEADERS
@@ -133,7 +133,7 @@
         for record in message.contacts:
             self.view.updates.on_update(record)
         self.view.cordon_replication.on_cordons(message.cordons)
-        self.on_zone_news(message.heartbeats, message.summaries)
+        self.on_zone_news(message)
         state_sync = self.view.state_sync
         cordons_differ = message.kind in BRIDGE_KINDS and message.digest != self.view.cordons.digest
         if cordons_differ and state_sync.is_due():
@@ -159,14 +159,15 @@
         if record.address in self.context.settings.seeds:
             self.foreign_seeds.add(record.address)
 
-    def on_zone_news(self, heartbeats: bytes, summaries: Iterable[ZoneSummary]) -> None:
+    def on_zone_news(self, message: Datagram | StateSync) -> None:
         """Take in heartbeats and summaries, from whichever zone they come."""
-        if not self.view.zones.merge_heartbeats(self.context.now, heartbeats):
+        zones, now = self.view.zones, self.context.now
+        if not zones.merge_heartbeats(now, message.heartbeats, message.heartbeat_ages):
             if not self.context.counters["tables"]:
                 text = "a member is configured with other zones, or other sizes of them"
                 self.context.log(MembershipEvent.ZONE_TABLE_MISMATCH, text, "error")
             self.context.counters["tables"] += 1
-        for summary in summaries:
+        for summary in message.summaries:
             self._on_summary(summary)
 
     def _on_summary(self, summary: ZoneSummary) -> None:
--- a/arrowseam/membership/codec.py
+++ b/arrowseam/membership/codec.py
@@ -27,6 +27,7 @@
 BUCKET_COUNT = 64  # that names are divided into, each with a digest of its own
 ZONES_MAX = 64
 HEARTBEATS_MAX = 4 + 4 * ZONES_MAX
+HeartbeatAges = Annotated[bytes, Meta(max_length=ZONES_MAX)]  # one byte a zone; empty: not told
 STATE_SYNC_PREFIX = b"W"  # before the body of a frame
 DATAGRAM_PREFIX = b"D"
 
@@ -85,6 +86,7 @@
     holders: Annotated[bytes, Meta(max_length=1024)] = b""  # who holds the digest above
     summaries: Annotated[list[ZoneSummary], Meta(max_length=64)] = []
     contacts: Annotated[list[MemberRecord], Meta(max_length=16)] = []  # members of any zone
+    heartbeat_ages: HeartbeatAges = b""
 
 
 class StateSync(msgspec.Struct, array_like=True, frozen=True):
@@ -102,6 +104,7 @@
     heartbeats: Annotated[bytes, Meta(max_length=HEARTBEATS_MAX)] = b""
     summaries: Annotated[list[ZoneSummary], Meta(max_length=256)] = []
     contacts: Annotated[list[MemberRecord], Meta(max_length=1024)] = []
+    heartbeat_ages: HeartbeatAges = b""
 
 
 class MalformedMessageError(ArrowseamError, ValueError):
@@ -122,6 +125,12 @@
     return len(_encoder.encode(part))
 
 
+def _encode(message: Datagram | StateSync) -> bytes:
+    """Return the body of a message; without ages it has the form of the versions that know none."""
+    fields = msgspec.structs.astuple(message)
+    return _encoder.encode(fields if message.heartbeat_ages else fields[:-1])
+
+
 def seal(body: bytes) -> bytes:
     """Return the body with the magic word and its checksum before it."""
     return MAGIC + zlib.crc32(body).to_bytes(4, "big") + body
@@ -138,7 +147,7 @@
 
 def encode_datagram(message: Datagram) -> bytes:
     """Return the bytes of a datagram."""
-    return seal(_encoder.encode(message))
+    return seal(_encode(message))
 
 
 def decode_datagram(data: bytes, cluster: str) -> Datagram:
@@ -157,7 +166,7 @@
 def encode_frame(message: Datagram | StateSync) -> bytes:
     """Return one frame of a stream, with its length before it."""
     prefix = STATE_SYNC_PREFIX if isinstance(message, StateSync) else DATAGRAM_PREFIX
-    data = seal(prefix + _encoder.encode(message))
+    data = seal(prefix + _encode(message))
     return len(data).to_bytes(LENGTH_SIZE, "big") + data
 
 
--- a/arrowseam/membership/dissemination.py
+++ b/arrowseam/membership/dissemination.py
@@ -49,6 +49,7 @@
         with_gossip: bool = True,
     ) -> Datagram:
         """Return a message with as much gossip as fits; ``first`` goes before all other updates."""
+        zones, has_heartbeats = self.view.zones, kind in SENDS_HEARTBEATS
         bare = Datagram(
             codec.VERSION,
             self.context.settings.cluster,
@@ -61,8 +62,9 @@
             [],
             recognised,
             self.view.info,
-            self.view.zones.encoded_heartbeats() if kind in SENDS_HEARTBEATS else b"",
+            zones.encoded_heartbeats() if has_heartbeats else b"",
             b"" if self.context.leaving else self.view.evidence.current_holders().encoded(),
+            heartbeat_ages=zones.encoded_ages(self.context.now) if has_heartbeats else b"",
         )
         room = codec.DATAGRAM_MAX - len(codec.encode_datagram(bare)) - ARRAY_HEADERS
         updates: list[MemberRecord] = []
--- a/arrowseam/membership/state_sync.py
+++ b/arrowseam/membership/state_sync.py
@@ -106,6 +106,7 @@
             self.view.cordons.digest,
             part,
             self.view.zones.encoded_heartbeats(),
+            heartbeat_ages=self.view.zones.encoded_ages(self.context.now),
             **(zone_fields or {}),
         )
 
@@ -206,7 +207,7 @@
             if state.info is not None:
                 self.members.infos[state.sender.name] = state.info, self.context.now
         self.view.cordon_replication.on_cordons(state.cordons)
-        self.view.bridges.on_zone_news(state.heartbeats, state.summaries)
+        self.view.bridges.on_zone_news(state)
         for record in state.contacts:
             self.view.updates.on_update(record)
         if len(self.backlog) < BACKLOG_MAX:
--- a/arrowseam/membership/view.py
+++ b/arrowseam/membership/view.py
@@ -265,7 +265,7 @@
         for record in message.contacts:
             updates.on_update(record)
         self.cordon_replication.on_cordons(message.cordons)
-        self.bridges.on_zone_news(message.heartbeats, message.summaries)
+        self.bridges.on_zone_news(message)
         # What we hold of the sender and it does not say itself, it may refute.
         refutable = known if known is not None and known.precedence > sender.precedence else None
         reply = self._answer(message, refutable, recognised) if sender.state is not State.LEFT else None
--- a/arrowseam/membership/zones.py
+++ b/arrowseam/membership/zones.py
@@ -22,6 +22,8 @@
 CONTACTS_MAX = 8  # members of another zone whose addresses are kept
 HEARTBEAT_MAX = (1 << 32) - 1
 TABLE_DIGEST_SIZE = 4  # bytes before the heartbeats
+AGE_UNIT = SECOND // 10  # of the ages of heartbeats in messages
+AGE_MAX = 255
 
 
 def rank(name: str) -> int:
@@ -36,7 +38,7 @@
     name: str
     size: int  # configured members
     heartbeat: int = 0
-    heartbeat_at: int | None = None  # when the heartbeat last rose, as seen here
+    heartbeat_at: int | None = None  # when its zone raised the heartbeat, as far as messages tell
     silent: bool = False
     summary: ZoneSummary | None = None
     contacts: dict[str, MemberRecord] = field(default_factory=dict)  # the one met last is the last
@@ -71,16 +73,34 @@
             return b""
         return self._digest + self._form.pack(*(zone.heartbeat for zone in self.by_name.values()))
 
-    def merge_heartbeats(self, now: int, encoded: bytes) -> bool:
-        """Take in the heartbeats that rose; return False if the sender has another table of zones."""
+    def encoded_ages(self, now: int) -> bytes:
+        """Return how long ago each zone raised its heartbeat, for a datagram, rounded down.
+
+        Without it a heartbeat counts as new where it arrives late: a zone that ended long ago would be held
+        for heard by a member that was cut off, or started, until a whole timeout after it heard of it.
+        """
+        ages = (0 if zone.heartbeat_at is None else now - zone.heartbeat_at for zone in self.by_name.values())
+        return bytes(min(AGE_MAX, age // AGE_UNIT) for age in ages)
+
+    def merge_heartbeats(self, now: int, encoded: bytes, ages: bytes = b"") -> bool:
+        """Take in the heartbeats that rose; return False if the sender has another table of zones.
+
+        ``ages``: as ``encoded_ages`` gives them; versions that send none count as telling new heartbeats.
+        """
         if not encoded or not self.by_name:
             return True
         if encoded[:TABLE_DIGEST_SIZE] != self._digest or len(encoded) != TABLE_DIGEST_SIZE + self._form.size:
             return False
         heartbeats = self._form.unpack_from(encoded, TABLE_DIGEST_SIZE)
-        for zone, heartbeat in zip(self.by_name.values(), heartbeats):
+        if len(ages) != len(heartbeats):
+            ages = bytes(len(heartbeats))
+        for zone, heartbeat, age in zip(self.by_name.values(), heartbeats, ages):
+            raised_at = now - age * AGE_UNIT
             if heartbeat > zone.heartbeat:
-                zone.heartbeat, zone.heartbeat_at = heartbeat, now
+                zone.heartbeat, zone.heartbeat_at = heartbeat, raised_at
+            elif heartbeat == zone.heartbeat and zone.heartbeat_at is not None:
+                # The age told is never more than the true one: who tells the greater is nearer to it.
+                zone.heartbeat_at = min(zone.heartbeat_at, raised_at)
         return True
 
     def is_speaker(self, own_name: str, others: Iterable[str], ranks: dict[str, int]) -> bool:
--- a/tests/test_zone_silence.py
+++ b/tests/test_zone_silence.py
@@ -2,10 +2,37 @@
 
 from __future__ import annotations
 
+import random
+
 from arrowseam.lab.schedule_drawing import ZoneFault
 from arrowseam.lab.schedules import Step, ZoneSchedule
-from arrowseam.lab.simulated_cluster import MS, SECOND
+from arrowseam.lab.simulated_cluster import MS, SECOND, SimulatedCluster
 from arrowseam.lab.zone_schedule_player import ZonePlayer
+from arrowseam.membership.zones import AGE_MAX, AGE_UNIT, ZoneTable
+
+SIZES = (("a", 3), ("b", 3), ("c", 3))
+
+
+def standing(zones: dict[str, int]) -> SimulatedCluster:
+    net = SimulatedCluster(sum(zones.values()), 1, zones=zones)
+    net.stand()
+    net.run(net.now + 5 * SECOND)
+    return net
+
+
+def of(net: SimulatedCluster, zone: str) -> list[str]:
+    return [name for name in net.names if net.zone_of[name] == zone]
+
+
+def is_silent(net: SimulatedCluster, name: str, zone: str) -> bool:
+    return net.running[name].view.zones.by_name[zone].silent
+
+
+def reports(net: SimulatedCluster, name: str, event: str, zone: str) -> list[int]:
+    """When a member reported that of a zone."""
+    return [
+        at for at, who, note in net.notes if who == name and note.event == event and f" {zone} " in note.text
+    ]
 
 
 # --- the judgement itself ---------------------------------------------------------------------------------
@@ -21,3 +48,64 @@
     for offset in (0, 100 * MS, 200 * MS, 300 * MS, 400 * MS):
         steps = [Step(s.at + offset, s.what, s.who, s.span) for s in (first, again)]
         assert ZonePlayer(ZoneSchedule(1, 6, steps, zones)).play().broken == []
+
+
+# --- how old a heartbeat is -------------------------------------------------------------------------------
+
+
+def test_a_heartbeat_counts_from_its_zone_s_raising_it_however_late_it_arrives() -> None:
+    """A heartbeat that came late counted as new: a zone that had ended was heard for a timeout more."""
+    teller, hearer = (ZoneTable("a", SIZES, random.Random(1)) for _ in range(2))
+    source = ZoneTable("b", SIZES, random.Random(1))
+    source.raise_heartbeat(0, 100)
+    assert teller.merge_heartbeats(0, source.encoded_heartbeats(), source.encoded_ages(0))
+    late = 20 * SECOND
+    assert hearer.merge_heartbeats(late, teller.encoded_heartbeats(), teller.encoded_ages(late))
+    assert hearer.by_name["b"].heartbeat_at == 0
+    assert [zone.name for zone in hearer.update_silence(late)] == ["b"]
+
+
+def test_of_two_ages_of_one_heartbeat_the_greater_holds() -> None:
+    zones = ZoneTable("a", SIZES, random.Random(1))
+    source = ZoneTable("b", SIZES, random.Random(1))
+    source.raise_heartbeat(0, 100)
+    heartbeats = source.encoded_heartbeats()
+    for age, raised_at in ((5, 50 * AGE_UNIT), (9, 46 * AGE_UNIT), (2, 46 * AGE_UNIT), (0, 46 * AGE_UNIT)):
+        assert zones.merge_heartbeats(55 * AGE_UNIT, heartbeats, bytes([0, age, 0]))
+        assert zones.by_name["b"].heartbeat_at == raised_at
+
+
+def test_ages_of_any_length_are_taken_or_ignored() -> None:
+    """The sender is of a version without ages, or they are malformed."""
+    source = ZoneTable("b", SIZES, random.Random(1))
+    source.raise_heartbeat(0, 100)
+    for ages in (b"", b"\x05", bytes([5] * 4)):
+        zones = ZoneTable("a", SIZES, random.Random(1))
+        assert zones.merge_heartbeats(SECOND, source.encoded_heartbeats(), ages)
+        assert zones.by_name["b"].heartbeat_at == SECOND
+    assert source.encoded_ages(1000 * SECOND) == bytes([0, AGE_MAX, 0])
+
+
+def test_a_member_that_was_cut_off_does_not_hear_a_zone_that_ended_meanwhile() -> None:
+    net = standing({"a": 3, "b": 3, "c": 3})
+    links = net.partition(["m0"], net.names[1:])
+    net.run(net.now + 4 * SECOND)
+    for name in of(net, "b"):
+        net.off.add(name)
+        net.kill(name)
+    net.run(net.now + 20 * SECOND)
+    net.heal(links)
+    net.run(net.now + 10 * SECOND)
+    assert is_silent(net, "m0", "b")
+    assert not is_silent(net, "m0", "c")
+    assert reports(net, "m0", "zone.back", "b") == []
+
+
+def test_a_member_that_starts_is_told_at_once_that_a_zone_is_long_silent() -> None:
+    net = standing({"a": 3, "b": 3, "c": 3})
+    for name in of(net, "b"):
+        net.off.add(name)
+        net.kill(name)
+    net.run(net.now + 20 * SECOND)
+    net.start("m1")
+    assert net.until(lambda: is_silent(net, "m1", "b"), 3 * SECOND) is not None
