Membership: contacts in other zones that do not answer are kept and tried again

Members told zones as silent that could reach them.

Cause: ZoneTable.choose_contact dropped each contact that had not answered before the next message, but for the last one. After a cut, or where only one direction is open, all that was left could be one member out of reach, and nobody who could name another one was heard.

Why it works: up to eight contacts are kept and told apart by whether they answer. Messages go to those that do; with each one goes a second one to that of the others that was tried the longest ago, where there is any. Those without an answer make place for newly named ones first and are not named to others while there are better ones.

Test: test_contacts_that_do_not_answer_are_tried_again found one of five hosts before.

--- a/arrowseam/membership/bridges.py
+++ b/arrowseam/membership/bridges.py
@@ -72,12 +72,20 @@
             self.send_to(rnd.choice(others))
 
     def send_to(self, zone: Zone) -> None:
-        """Send to a member of a zone, if one is known."""
-        contact = self.view.zones.choose_contact(zone)
-        if contact is not None:
-            self.context.counters["bridges"] += 1
-            message = self.compose(MessageKind.BRIDGE, self.context.next_number(), zone.name)
-            self.view.dissemination.send(contact.address, message)
+        """Send to a member of a zone, and to one that did not answer before, if any are known."""
+        zones = self.view.zones
+        contact = zones.choose_contact(zone)
+        if contact is None:
+            return
+        self._send_bridge(zone, contact.address)
+        unresponsive = zones.next_unresponsive(zone)
+        if unresponsive is not None and unresponsive is not contact:
+            self._send_bridge(zone, unresponsive.address)
+
+    def _send_bridge(self, zone: Zone, address: Address) -> None:
+        self.context.counters["bridges"] += 1
+        message = self.compose(MessageKind.BRIDGE, self.context.next_number(), zone.name)
+        self.view.dissemination.send(address, message)
 
     def compose(self, kind: MessageKind, number: int, zone_name: str) -> Datagram:
         """Return what we tell another zone: cordons, heartbeats, summaries, and members to contact."""
@@ -85,7 +93,7 @@
         contacts = self.own_contacts(OWN_CONTACTS) + zones.sample_contacts(1, zone_name)
         zone = zones.by_name.get(zone_name)
         if zone is not None and zone.contacts:
-            contacts.append(self.context.random.choice(list(zone.contacts.values())))
+            contacts.append(self.context.random.choice(zone.preferred_contacts))
         bare = Datagram(
             codec.VERSION,
             self.context.settings.cluster,
--- a/arrowseam/membership/state_sync.py
+++ b/arrowseam/membership/state_sync.py
@@ -159,7 +159,7 @@
         contacts: list[MemberRecord] = []
         for other in zones.others:
             count = REDIRECTS_MAX if other.name == zone else CONTACTS_PER_ZONE
-            contacts += list(other.contacts.values())[-count:]
+            contacts += other.preferred_contacts[-count:]
         if zone:
             contacts += self.view.bridges.own_contacts(CONTACTS_PER_ZONE)
         return {"summaries": summaries, "contacts": contacts}
--- a/arrowseam/membership/zones.py
+++ b/arrowseam/membership/zones.py
@@ -42,7 +42,31 @@
     silent: bool = False
     summary: ZoneSummary | None = None
     contacts: dict[str, MemberRecord] = field(default_factory=dict)  # the one met last is the last
-    unanswered: str = ""  # the contact that we last sent to, until it answers
+    awaited: str = ""  # the contact that we last sent to, until it answers
+    unresponsive: dict[str, None] = field(default_factory=dict)  # contacts without an answer, the next first
+
+    @property
+    def preferred_contacts(self) -> list[MemberRecord]:
+        """Return the contacts that answer, or all if none does."""
+        answering = [r for name, r in self.contacts.items() if name not in self.unresponsive]
+        return answering or list(self.contacts.values())
+
+    def note_unresponsive(self) -> None:
+        """The contact that we last sent to has not answered before the next message."""
+        if self.awaited in self.contacts:
+            self.unresponsive.setdefault(self.awaited)
+        self.awaited = ""
+
+    def note_responsive(self, name: str) -> None:
+        """A contact has answered, or its name has a new process."""
+        self.unresponsive.pop(name, None)
+        if self.awaited == name:
+            self.awaited = ""
+
+    def remove_contact(self, name: str) -> None:
+        """Forget a contact."""
+        del self.contacts[name]
+        self.note_responsive(name)
 
 
 class ZoneTable:
@@ -160,30 +184,42 @@
         known = zone.contacts.get(record.name)
         if answered:
             zone.contacts.pop(record.name, None)
-            if zone.unanswered == record.name:
-                zone.unanswered = ""
         elif known is not None and known.precedence >= record.precedence:
             return
-        elif len(zone.contacts) >= CONTACTS_MAX:
+        elif known is None and len(zone.contacts) >= CONTACTS_MAX:
             # Replaces one by lot: otherwise all members would keep to the few that they began with.
-            del zone.contacts[self.random.choice(list(zone.contacts))]
+            zone.remove_contact(self.random.choice(list(zone.unresponsive or zone.contacts)))
+        if answered or known is None or known.process_id != record.process_id:
+            zone.note_responsive(record.name)
         zone.contacts[record.name] = record
         while len(zone.contacts) > CONTACTS_MAX:
-            del zone.contacts[next(iter(zone.contacts))]
+            zone.remove_contact(next(iter(zone.unresponsive or zone.contacts)))
 
     def choose_contact(self, zone: Zone) -> MemberRecord | None:
-        """Return a member to send to; drop the one that did not answer, unless it is alone."""
-        if zone.unanswered and len(zone.contacts) > 1:
-            zone.contacts.pop(zone.unanswered, None)
-        zone.unanswered = ""
+        """Return a member to send to, one that answers if there is any."""
+        if zone.awaited:
+            zone.note_unresponsive()
         if not zone.contacts:
             return None
-        contact = self.random.choice(list(zone.contacts.values()))
-        zone.unanswered = contact.name
+        contact = self.random.choice(zone.preferred_contacts)
+        zone.awaited = contact.name
         return contact
 
+    def next_unresponsive(self, zone: Zone) -> MemberRecord | None:
+        """Return the contact without an answer that was tried the longest ago, if there is one.
+
+        It may hear us though we do not hear it, and after a cut it may be the only member within reach: a
+        contact that was dropped would not be tried again, since nobody who could name it is heard either.
+        """
+        name = next(iter(zone.unresponsive), None)
+        if name is None:
+            return None
+        del zone.unresponsive[name]
+        zone.unresponsive[name] = None
+        return zone.contacts[name]
+
     def sample_contacts(self, count: int, excluded: str = "") -> list[MemberRecord]:
         """Return one contact each of up to ``count`` other zones, without the one excluded."""
         zones = [zone for zone in self.others if zone.name != excluded and zone.contacts]
         chosen = self.random.sample(zones, min(count, len(zones)))
-        return [self.random.choice(list(zone.contacts.values())) for zone in chosen]
+        return [self.random.choice(zone.preferred_contacts) for zone in chosen]
--- a/tests/test_zone_silence.py
+++ b/tests/test_zone_silence.py
@@ -8,6 +8,12 @@
 from arrowseam.lab.schedules import Step, ZoneSchedule
 from arrowseam.lab.simulated_cluster import MS, SECOND, SimulatedCluster
 from arrowseam.lab.zone_schedule_player import ZonePlayer
+from arrowseam.membership import codec
+from arrowseam.membership.codec import MessageKind
+from arrowseam.membership.effects import SendDatagram
+from arrowseam.membership.records import MemberRecord, State
+from arrowseam.membership.settings import MembershipSettings
+from arrowseam.membership.view import ClusterView
 from arrowseam.membership.zones import AGE_MAX, AGE_UNIT, ZoneTable
 
 SIZES = (("a", 3), ("b", 3), ("c", 3))
@@ -109,3 +115,49 @@
     net.run(net.now + 20 * SECOND)
     net.start("m1")
     assert net.until(lambda: is_silent(net, "m1", "b"), 3 * SECOND) is not None
+
+
+# --- ways that are left -----------------------------------------------------------------------------------
+
+
+def bridged(view: ClusterView, began: int, ends: int) -> list[str]:
+    """The hosts of other zones to which a view that nobody answers sends."""
+    hosts = []
+    for now in range(began, ends, 50 * MS):
+        for effect in view.on_timer(now):
+            if isinstance(effect, SendDatagram):
+                message = codec.decode_datagram(effect.data, "fleet")
+                if message.kind == MessageKind.BRIDGE:
+                    hosts.append(effect.address[0])
+    return hosts
+
+
+def test_contacts_that_do_not_answer_are_tried_again() -> None:
+    """Contacts were dropped but for one, whom a cut might have left out of reach for ever."""
+    settings = MembershipSettings(zone="a", zones=(("a", 1), ("b", 5)))
+    view = ClusterView(MemberRecord("me", 1, 1, 0, State.ALIVE, "h0", 7000), settings, random.Random(1))
+    view.start(0)
+    for n in range(1, 6):
+        record = MemberRecord(f"m{n}", 1, n, 0, State.ALIVE, f"h{n}", 7000, "", "b")
+        view.zones.add_contact(record, False)
+    bridged(view, 0, 20 * SECOND)
+    tried = bridged(view, 20 * SECOND, 26 * SECOND)
+    assert set(tried) == {f"h{n}" for n in range(1, 6)}
+
+
+def test_contacts_that_do_not_answer_are_neither_named_to_others_nor_kept_before_others() -> None:
+    zones = ZoneTable("a", SIZES, random.Random(1))
+    for n in range(8):
+        zones.add_contact(MemberRecord(f"m{n}", 1, n, 0, State.ALIVE, f"h{n}", 7000, "", "b"), True)
+    zone = zones.by_name["b"]
+    chosen = zones.choose_contact(zone)
+    assert chosen is not None
+    other = zones.choose_contact(zone)
+    assert other is not None
+    assert other.name != chosen.name
+    zones.add_contact(other, True)
+    assert all(record.name != chosen.name for _ in range(50) for record in zones.sample_contacts(1))
+    zones.add_contact(MemberRecord("new", 1, 99, 0, State.ALIVE, "h99", 7000, "", "b"), False)
+    assert chosen.name not in zone.contacts
+    assert len(zone.contacts) == 8
+    assert not zone.unresponsive
