Membership: messages to other zones keep their pace when probes are slowed down

A member without answers in its own zone, the only way between two zones, spoke to the others every 2.4 s or slower, and to any one of them now and then.

Cause: these messages were counted in probe intervals. Lifeguard stretches an interval up to nine times while probes fail, and with nobody left to probe it never shrinks again. The zone was drawn anew each time.

Why it works: a timer of its own, in plain probe intervals, and each other zone in turn.

--- a/arrowseam/membership/bridges.py
+++ b/arrowseam/membership/bridges.py
@@ -39,14 +39,15 @@
         self.foreign_seeds: set[Address] = set()  # seeds at which a member of another zone runs
         self.ranks: dict[str, int] = {}  # of the members of our zone
         self._conflicting_nonces: set[int] = set()  # processes in other zones under our name
-        self._intervals_left = 0
         self._wall_offset = 0  # microseconds that the wall clock is ahead of ours
+        self._turn = 0  # of the zone that we last sent to
 
     def start(self, wall_offset: int) -> None:
         """Begin; ``wall_offset`` as our own start time says it, microseconds."""
         self._wall_offset = wall_offset
         if self.view.zones.others:
-            self._intervals_left = self.context.random.randrange(self._intervals()) + 1
+            self._schedule_send(self.context.random.randrange(self._intervals()) + 1)
+            self._turn = self.context.random.randrange(len(self.view.zones.others))
             first = self.context.now + int(self.context.random.random() * SECOND)
             self.context.timers.schedule(first, self._on_second)
 
@@ -55,15 +56,25 @@
     def _intervals(self) -> int:
         return min(INTERVALS_MAX, max(INTERVALS_MIN, self.members.active_count // INTERVALS_DIVISOR))
 
-    def on_probe_interval(self) -> None:
-        """Once in some probe intervals, send to a zone."""
+    def _schedule_send(self, intervals: int) -> None:
+        """Send after so many probe intervals.
+
+        They are not slowed down with the probes of a member that hears little: it may be the only way by
+        which its zone, or another one, is heard.
+        """
+        at = self.context.now + intervals * self.context.settings.probe_interval
+        self.context.timers.schedule(at, self._on_send_timer)
+
+    def _on_send_timer(self) -> None:
+        self._schedule_send(self._intervals())
+        if not self.context.leaving:
+            self.send_to(self._next_zone())
+
+    def _next_zone(self) -> Zone:
+        """Return each other zone in turn, so that no zone waits long for a message by chance."""
         others = self.view.zones.others
-        if not others or self.context.leaving:
-            return
-        self._intervals_left -= 1
-        if self._intervals_left <= 0:
-            self._intervals_left = self._intervals()
-            self.send_to(self.context.random.choice(others))
+        self._turn = (self._turn + 1) % len(others)
+        return others[self._turn]
 
     def on_cordon_push(self) -> None:
         """Send a cordon on to some zone, if this member is drawn."""
--- a/arrowseam/membership/failure_detector.py
+++ b/arrowseam/membership/failure_detector.py
@@ -91,7 +91,6 @@
         if self.context.leaving:
             return
         self._greet()
-        self.view.bridges.on_probe_interval()
         name = self.members.ring.next(self.context.random)
         if name is None:
             return
--- /dev/null
+++ b/tests/data/wire/make_membership_zones.py
@@ -0,0 +1,10 @@
+"""Writes ``membership_zones.json``: what a view with zones sends, from a fixed seed, on the version that runs it.
+
+    PYTHONPATH=tests python tests/data/wire/make_membership_zones.py > tests/data/wire/membership_zones.json
+"""
+
+import json
+
+from test_wire_bytes_membership import spoken
+
+print(json.dumps(spoken("a"), indent=1))
--- a/tests/test_zone_silence.py
+++ b/tests/test_zone_silence.py
@@ -161,3 +161,13 @@
     assert chosen.name not in zone.contacts
     assert len(zone.contacts) == 8
     assert not zone.unresponsive
+
+
+def test_a_member_whose_probes_fail_goes_on_speaking_to_other_zones() -> None:
+    """Its probes are slowed down, and its messages to other zones were so with them, up to nine times."""
+    net = standing({"a": 3, "b": 3})
+    net.partition(["m0"], ["m1", "m2"])
+    net.run(net.now + 15 * SECOND)
+    before = net.running["m0"].view.counters["bridges"]
+    net.run(net.now + 6 * SECOND)
+    assert net.running["m0"].view.counters["bridges"] - before >= 9
