Membership: a member that knows nobody in a zone sends to its seeds

A zone was told as silent though it could be heard.

Cause: a member that starts asks its seeds by streams, which need both ways. Where only its own direction is open it knows nobody to send to.

Why it works: where no contact of a zone is known, the message to that zone goes to a seed that nobody met has the address of. One zone is a message in some probe intervals, so it costs nothing else.

test_a_member_that_starts_and_cannot_receive_is_heard failed before.

--- a/arrowseam/membership/bridges.py
+++ b/arrowseam/membership/bridges.py
@@ -83,16 +83,29 @@
             self.send_to(rnd.choice(others))
 
     def send_to(self, zone: Zone) -> None:
-        """Send to a member of a zone, and to one that did not answer before, if any are known."""
+        """Send to a member of a zone, and to one that did not answer before; to a seed if none is known."""
         zones = self.view.zones
         contact = zones.choose_contact(zone)
         if contact is None:
+            self._send_to_seed(zone)
             return
         self._send_bridge(zone, contact.address)
         unresponsive = zones.next_unresponsive(zone)
         if unresponsive is not None and unresponsive is not contact:
             self._send_bridge(zone, unresponsive.address)
 
+    def _send_to_seed(self, zone: Zone) -> None:
+        """Send to a seed that may be of this zone.
+
+        A member that starts while it can send there and not receive asks its seeds by streams in vain; by
+        datagrams they hear that its own zone lives.
+        """
+        contacts = (record.address for other in self.view.zones.others for record in other.contacts.values())
+        met = self.members.active_addresses().union(contacts)
+        unmet = [seed for seed in self.context.settings.seeds if seed not in met]
+        if unmet:
+            self._send_bridge(zone, self.context.random.choice(unmet))
+
     def _send_bridge(self, zone: Zone, address: Address) -> None:
         self.context.counters["bridges"] += 1
         message = self.compose(MessageKind.BRIDGE, self.context.next_number(), zone.name)
--- a/tests/test_zone_silence.py
+++ b/tests/test_zone_silence.py
@@ -171,3 +171,13 @@
     before = net.running["m0"].view.counters["bridges"]
     net.run(net.now + 6 * SECOND)
     assert net.running["m0"].view.counters["bridges"] - before >= 9
+
+
+def test_a_member_that_starts_and_cannot_receive_is_heard() -> None:
+    """It asked its seeds by streams only, which need both ways, and so knew nobody to send to."""
+    net = standing({"a": 1, "b": 3})
+    net.partition(of(net, "b"), ["m0"], one_way=True)
+    net.run(net.now + 3 * SECOND)
+    net.start("m0")
+    net.run(net.now + 15 * SECOND)
+    assert not any(is_silent(net, name, "a") for name in of(net, "b"))
