--- a/tests/test_zone_silence.py
+++ b/tests/test_zone_silence.py
@@ -181,3 +181,14 @@
     net.start("m0")
     net.run(net.now + 15 * SECOND)
     assert not any(is_silent(net, name, "a") for name in of(net, "b"))
+
+
+def test_a_member_that_cannot_send_still_hears_the_other_zones() -> None:
+    """Its own zone held it for dead and nobody sent to it; few in the others have its address."""
+    net = standing({"a": 40, "b": 4})
+    net.partition(["m0"], net.names[1:], one_way=True)
+    net.run(net.now + 15 * SECOND)
+    began = net.now
+    net.run(net.now + 20 * SECOND)
+    assert not is_silent(net, "m0", "b")
+    assert [at for at in reports(net, "m0", "zone.silent", "b") if at > began] == []
