Health checks: a report that ends before a field tells the fields before it

Callers saw: in the round in which such a report came, an exception. What else the round held was lost: timers, and so the looks at queued requests, which then waited for their deadlines.

Cause: HealthChecker.on_report indexed the report at `inflight` whatever its length. Beside it, the driver filled a field that an endpoint did not report with 0, so one that told no utilization counted as idle.

Why it works: a report without the field is read as one of settings without it; the driver passes a missing field as no number, which the rule has always ignored.

--- a/arrowseam/balancer/health_checks.py
+++ b/arrowseam/balancer/health_checks.py
@@ -66,16 +66,23 @@
             return False
         endpoint.reported_utilization, endpoint.reported_at = report[index], now
         endpoint.in_flight_at_report = endpoint.in_flight
-        fields = self.settings.report_fields
-        in_flight = float(self.settings.proxy_count * endpoint.in_flight)
-        if IN_FLIGHT_FIELD in fields:
-            in_flight = report[fields.index(IN_FLIGHT_FIELD)]
+        in_flight = self._reported_in_flight(report)
+        if in_flight is None:
+            in_flight = float(self.settings.proxy_count * endpoint.in_flight)
         if in_flight >= 1.0:
             load = endpoint.reported_utilization / in_flight
             mean = self.utilization_per_connection
             self.utilization_per_connection = mean + COST_GAIN * (load - mean) if mean else load
         return True
 
+    def _reported_in_flight(self, report: tuple[float, ...]) -> float | None:
+        """Return the connections that a report tells; None if it tells none, also if it ends before."""
+        fields = self.settings.report_fields
+        if IN_FLIGHT_FIELD not in fields:
+            return None
+        index = fields.index(IN_FLIGHT_FIELD)
+        return report[index] if index < len(report) else None
+
     def estimated_utilization(self, endpoint: EndpointRecord) -> float:
         """Return the utilization of an endpoint, by its report and what was sent there since.
 
--- a/arrowseam/driver.py
+++ b/arrowseam/driver.py
@@ -322,8 +322,11 @@
     def report_health_check(
         self, endpoint: str, succeeded: bool, elapsed: int, report: dict[str, float]
     ) -> None:
-        """How a health check ended; ``report`` holds the fields that the endpoint reported, by name."""
-        values = tuple(report.get(name, 0.0) for name in self.settings.report_fields) if report else ()
+        """How a health check ended; ``report`` holds the fields that the endpoint reported, by name.
+
+        A field that it did not report is no number to the balancer, and not 0: it would count as idle.
+        """
+        values = tuple(report.get(name, math.nan) for name in self.settings.report_fields) if report else ()
         outcome = Outcome.OK if succeeded else Outcome.ERROR
         self._notify(events.HealthCheckEnded(self.endpoint_ids[endpoint], outcome, elapsed, values))
 
--- /dev/null
+++ b/tests/test_odd_input.py
@@ -0,0 +1,34 @@
+"""What comes from outside and is odd: no rule raises on it, and it does not outlast who sent it."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import Clock, make_balancer, make_endpoints
+from network import SETTINGS, World
+
+from arrowseam.balancer.events import HealthCheckEnded, Outcome
+from arrowseam.balancer.settings import Limits
+
+
+@pytest.mark.parametrize(("report", "utilization"), [((0.4,), 0.4), ((), None), ((0.4, 4.0), 0.4)])
+def test_a_report_that_ends_before_a_field_tells_the_fields_before_it(report, utilization) -> None:
+    """A report without ``inflight`` raised in the rule that reads it: what else the round held was lost."""
+    limits = Limits(max_attempts=3, health_checks_allowed=True)
+    clock = Clock(make_balancer(make_endpoints(2), limits=limits, report_fields=("x0", "inflight")))
+    clock.step(HealthCheckEnded(100, Outcome.OK, 1_000, report))
+    endpoint = clock.balancer.endpoints.by_id[100]
+    assert endpoint.reported_at == (clock.now if utilization is not None else endpoint.reported_at)
+    if utilization is not None:
+        assert endpoint.reported_utilization == utilization
+
+
+@pytest.mark.parametrize(("report", "is_taken"), [({"inflight": 4.0}, False), ({"x0": 0.4}, True)])
+def test_an_endpoint_that_does_not_report_its_utilization_is_not_idle(report, is_taken) -> None:
+    """A field that was missing counted as 0: of two endpoints the one that said nothing was preferred."""
+    fields = {"fields": ["x0", "inflight"]}
+    world = World("lines", "up", telemetry=fields, caps=SETTINGS["caps"] | {"probing": True})
+    (endpoint,) = world.driver.balancer.endpoints.by_id.values()
+    before = endpoint.reported_at
+    world.driver.report_health_check("s0", True, 1_000, report)
+    assert (endpoint.reported_at != before) == is_taken
+    world.close()
