Slow start: an endpoint whose start lies ahead is placed on where none warms up

Callers saw: where the settings state no warm-up time (the default) and an endpoint's clock is ahead of the proxy's, each placement raised until that start had come: requests were answered as failed.

Cause: warm_up_fraction and likely_fraction compared the age, negative here, with the warm-up time, and divided by that time, 0.

Why it works: an age is 0 at least, so where the time is 0 every endpoint is warm. Nothing else changes: max(0, age) stood in the formula before.

--- a/arrowseam/balancer/slow_start.py
+++ b/arrowseam/balancer/slow_start.py
@@ -21,20 +21,20 @@
 
 def warm_up_fraction(endpoint: EndpointRecord, now: int, rules: Rules) -> float:
     """Return the part of its capacity that an endpoint surely has, by its age."""
-    age = now - endpoint.warming_since
+    age = max(0, now - endpoint.warming_since)
     if age >= rules.warm_up_time:
         return 1.0
     cold = rules.cold_capacity_fraction
-    return cold + (1.0 - cold) * max(0, age) / rules.warm_up_time
+    return cold + (1.0 - cold) * age / rules.warm_up_time
 
 
 def likely_fraction(endpoint: EndpointRecord, now: int, rules: Rules) -> float:
     """Return the part of its capacity that an endpoint likely has: most warm up sooner than the rules say."""
-    age = now - endpoint.warming_since
+    age = max(0, now - endpoint.warming_since)
     if age >= rules.warm_up_time:
         return 1.0
     cold = min(1.0, LIKELY_MULTIPLE * rules.cold_capacity_fraction)
-    return min(1.0, cold + (1.0 - cold) * LIKELY_MULTIPLE * max(0, age) / rules.warm_up_time)
+    return min(1.0, cold + (1.0 - cold) * LIKELY_MULTIPLE * age / rules.warm_up_time)
 
 
 class SlowStart:
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import pytest
-from helpers import Clock, make_balancer, make_endpoints
+from helpers import SECOND, START, Clock, arrival, attempts, make_balancer, make_endpoints
 from network import SETTINGS, World
 
 from arrowseam.balancer.events import HealthCheckEnded, Outcome
-from arrowseam.balancer.settings import Limits
+from arrowseam.balancer.settings import Limits, Rules
 
 
 @pytest.mark.parametrize(("report", "utilization"), [((0.4,), 0.4), ((), None), ((0.4, 4.0), 0.4)])
@@ -32,3 +32,11 @@
     world.driver.report_health_check("s0", True, 1_000, report)
     assert (endpoint.reported_at != before) == is_taken
     world.close()
+
+
+def test_an_endpoint_that_starts_in_the_future_is_placed_on_where_none_warms_up() -> None:
+    """Its clock was ahead, and no warm-up is stated: each placement divided by that time, and raised."""
+    rules = Rules(drain_grace=SECOND, max_poll_interval=10 * SECOND, warm_up_time=0)
+    clock = Clock(make_balancer(make_endpoints(2, started_at=START + 5 * SECOND), rules=rules))
+    assert len(attempts(clock.step(arrival(1)))) == 1
+    assert len(attempts(clock.step(arrival(2, group=7)))) == 1
