Rebalancing: the load is 0 once the last connection has ended

Callers saw: after a proxy's last connection had ended, rounds that raised while requests were queued and endpoints scarce; what they held was lost, and the queue waited for its deadlines.

Cause: RequestTable adds and subtracts floats, so a rest of rounding may stay. off_overcommitted returned early for no load, not for no connection, and divided the rest by 0.

The new test, 0.1 + 0.2 - 0.1 - 0.2, failed on a load of 2.8e-17.

Why it works: with the last connection the load becomes 0, in all and at each endpoint, and the rule asks for connections before it divides.

--- a/arrowseam/balancer/rebalancing.py
+++ b/arrowseam/balancer/rebalancing.py
@@ -94,7 +94,7 @@
         served in time.
         """
         requests, capacity = self.requests, self.capacity
-        if requests.load <= 0.0 or not capacity.full_weight:
+        if requests.load <= 0.0 or not requests.connection_count or not capacity.full_weight:
             return []
         usable = capacity.total * capacity.shares.usable_weight / max(1, capacity.full_weight)
         proxies = self.settings.proxy_count
--- a/arrowseam/balancer/requests.py
+++ b/arrowseam/balancer/requests.py
@@ -138,16 +138,19 @@
             self.serving.pop(endpoint.endpoint_id, None)
 
     def release(self, request: PendingRequest) -> None:
-        """Give back what the request holds at its endpoint."""
+        """Give back what the request holds at its endpoint.
+
+        With the last one the load is 0, and not the rest that rounding leaves of many sums.
+        """
         self.connecting.discard(request.request_id)
         endpoint = request.endpoint
         if endpoint is not None:
-            endpoint.load -= request.load
             endpoint.in_flight -= 1
+            endpoint.load = endpoint.load - request.load if endpoint.in_flight else 0.0
             self.unlist_established(request.request_id, endpoint)
             request.endpoint = None
-            self.load -= request.load
             self.connection_count -= 1
+            self.load = self.load - request.load if self.connection_count else 0.0
 
     def update_load(self, request: PendingRequest, load: float) -> None:
         """Take over a reported load of a connection."""
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import pytest
-from helpers import SECOND, START, Clock, arrival, attempts, make_balancer, make_endpoints
+from helpers import SECOND, START, Clock, arrival, attempt_ended, attempts, make_balancer, make_endpoints
 from network import SETTINGS, World
 
-from arrowseam.balancer.events import HealthCheckEnded, Outcome
-from arrowseam.balancer.settings import Limits, Rules
+from arrowseam.balancer.events import ConnectionEstablished, HealthCheckEnded, Outcome
+from arrowseam.balancer.settings import Limits, Rules, Tenant
 
 
 @pytest.mark.parametrize(("report", "utilization"), [((0.4,), 0.4), ((), None), ((0.4, 4.0), 0.4)])
@@ -40,3 +40,18 @@
     clock = Clock(make_balancer(make_endpoints(2, started_at=START + 5 * SECOND), rules=rules))
     assert len(attempts(clock.step(arrival(1)))) == 1
     assert len(attempts(clock.step(arrival(2, group=7)))) == 1
+
+
+def test_a_rest_of_rounding_is_no_load_once_all_connections_have_ended() -> None:
+    """0.1 + 0.2 - 0.1 - 0.2 is more than 0: the rule against overcommitment divided by no connections."""
+    tenants = (Tenant(connection_quota=1.0),)
+    clock = Clock(make_balancer(make_endpoints(1), tenants=tenants, reports_latency=False))
+    sent = [attempts(clock.step(arrival(n, expected_load=load)))[0] for n, load in ((1, 0.1), (2, 0.2))]
+    for attempt in sent:
+        clock.step(ConnectionEstablished(attempt.request_id, 0, attempt.endpoint_id, 1_000))
+    for attempt in sent:
+        clock.step(attempt_ended(attempt, Outcome.OK, is_final=True))
+    assert clock.balancer.requests.load == 0.0
+    assert clock.balancer.endpoints.by_id[100].load == 0.0
+    clock.balancer.requests.load = 2e-17  # as a sum in another order may leave it
+    clock.step(after=2 * SECOND)
