--- a/arrowseam/balancer/requests.py
+++ b/arrowseam/balancer/requests.py
@@ -8,6 +8,7 @@
 from arrowseam.errors import UsageError
 
 LOAD_GAIN = 0.05  # part of a class's estimate that one reported load replaces
+LOAD_MAX = 1e9  # microseconds of work a second, of one connection: more than any machine does
 
 
 class ClassLoadEstimate:
@@ -71,7 +72,8 @@
         self.is_returning = arrival.is_reconnect or arrival.is_retry
         self.executed_on: EndpointRecord | None = None
         self.executed_at = 0
-        self.load = arrival.expected_load if arrival.expected_load > 0 else class_load.load or 1.0
+        expected_load = min(arrival.expected_load, LOAD_MAX)
+        self.load = expected_load if expected_load > 0 else class_load.load or 1.0
         self.is_new = not self.is_returning
 
 
@@ -153,7 +155,8 @@
             self.load = self.load - request.load if self.connection_count else 0.0
 
     def update_load(self, request: PendingRequest, load: float) -> None:
-        """Take over a reported load of a connection."""
+        """Take over a reported load of a connection, ``LOAD_MAX`` at most."""
+        load = min(load, LOAD_MAX)
         request.class_load.add(load)
         if request.endpoint is not None:
             request.endpoint.load += load - request.load
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -6,7 +6,7 @@
 from helpers import SECOND, START, Clock, arrival, attempt_ended, attempts, make_balancer, make_endpoints
 from network import SETTINGS, World
 
-from arrowseam.balancer.events import ConnectionEstablished, HealthCheckEnded, Outcome
+from arrowseam.balancer.events import ConnectionEstablished, HealthCheckEnded, LoadReported, Outcome
 from arrowseam.balancer.settings import Limits, Rules, Tenant
 
 
@@ -55,3 +55,19 @@
     assert clock.balancer.endpoints.by_id[100].load == 0.0
     clock.balancer.requests.load = 2e-17  # as a sum in another order may leave it
     clock.step(after=2 * SECOND)
+
+
+@pytest.mark.parametrize("load", [1e300, 1e308])
+def test_a_load_that_no_machine_bears_neither_raises_nor_outlasts_its_connection(load: float) -> None:
+    """LOAD 1e300: its square raised in each round, and two of them left a load that was infinite for ever."""
+    tenants = (Tenant(connection_quota=1.0),)
+    clock = Clock(make_balancer(make_endpoints(2), tenants=tenants, reports_latency=False))
+    sent = [attempts(clock.step(arrival(n, expected_load=load)))[0] for n in (1, 2, 3, 4)]
+    for attempt in sent:
+        clock.step(ConnectionEstablished(attempt.request_id, 0, attempt.endpoint_id, 1_000))
+        clock.step(LoadReported(attempt.request_id, 0, attempt.endpoint_id, load))
+        clock.step(after=2 * SECOND)
+    for attempt in sent[:3]:
+        clock.step(attempt_ended(attempt, Outcome.OK, is_final=True))
+    clock.step(LoadReported(4, 0, sent[3].endpoint_id, 5.0))
+    assert clock.balancer.requests.load == pytest.approx(5.0)
