Releases: a halt after a resume is in force, not only answered ACK

Operators saw: halt, resume, halt again: `ACK ... is halted here; it spreads`, and the release went on.

Cause: a halt spreads as the cordon of a mark, which still stood from the first halt. CordonSet.set_locally took the second for no change, so its timestamp stayed older than the one that the resume had allowed.

Evidence: three processes: after the second halt no proxy told the release as halted within 5 s (the new test failed there). Simulated clusters keep marks of their own, which hid it.

Why it works: a halt that is announced while the known one does not bind renews the mark. One that binds is not renewed, so that a leader that repeats it does not outdo a resume under way. A renewed mark is an event for who hears of it. The test passes with three halts in a row; the tests of the agreement, of cordons and of recorded bytes pass.

--- a/arrowseam/membership/cordon_replication.py
+++ b/arrowseam/membership/cordon_replication.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from arrowseam.membership.cordons import Cordon, CordonSet
+from arrowseam.membership.cordons import MARK_PREFIX, Cordon, CordonSet
 from arrowseam.membership.effects import CordonChanged
 
 if TYPE_CHECKING:
@@ -19,9 +19,9 @@
         self.view, self.context = view, view.context
         self.cordons = CordonSet()
 
-    def set_locally(self, endpoint: str, cordoned: bool, wall_ms: int) -> None:
-        """Cordon or uncordon an endpoint by our operator's word."""
-        update = self.cordons.set_locally(endpoint, cordoned, self.view.members.me.name, wall_ms)
+    def set_locally(self, endpoint: str, cordoned: bool, wall_ms: int, renew: bool = False) -> None:
+        """Cordon or uncordon an endpoint by our operator's word; ``renew``: as a new cordon if it stands."""
+        update = self.cordons.set_locally(endpoint, cordoned, self.view.members.me.name, wall_ms, renew)
         if update is None:
             return
         self.context.changed_at = self.context.now
@@ -39,5 +39,6 @@
                 continue
             self.context.changed_at = self.context.now
             self.view.dissemination.spread_cordon(merged)
-            if merged.is_cordoned != was_cordoned:
+            # Of a mark, who reads it goes by its timestamp as well.
+            if merged.is_cordoned != was_cordoned or merged.endpoint.startswith(MARK_PREFIX):
                 self.context.effects.append(CordonChanged(merged.endpoint, merged.is_cordoned))
--- a/arrowseam/membership/cordons.py
+++ b/arrowseam/membership/cordons.py
@@ -64,10 +64,15 @@
         """Return the endpoints that are cordoned, sorted."""
         return sorted(name for name, cordon in self.by_endpoint.items() if cordon.is_cordoned)
 
-    def set_locally(self, endpoint: str, cordoned: bool, author: str, wall_ms: int) -> Cordon | None:
-        """Cordon or uncordon as our operator says. None if that changes nothing, or the set is full."""
+    def set_locally(
+        self, endpoint: str, cordoned: bool, author: str, wall_ms: int, renew: bool = False
+    ) -> Cordon | None:
+        """Cordon or uncordon as our operator says. None if that changes nothing, or the set is full.
+
+        ``renew`` gives a cordon that stands a new timestamp: what was decided by the old one does not bind it.
+        """
         known = self.by_endpoint.get(endpoint)
-        if cordoned == (known is not None and known.is_cordoned):
+        if cordoned == (known is not None and known.is_cordoned) and not (cordoned and renew):
             return None
         if known is None and len(self.by_endpoint) >= CORDONS_MAX:
             return None
--- a/arrowseam/membership/runtime.py
+++ b/arrowseam/membership/runtime.py
@@ -229,10 +229,13 @@
 
     # --- orders ---
 
-    def set_cordon(self, endpoint: str, cordoned: bool) -> None:
-        """Cordon or uncordon an endpoint at all proxies, by our operator's word."""
+    def set_cordon(self, endpoint: str, cordoned: bool, renew: bool = False) -> None:
+        """Cordon or uncordon an endpoint at all proxies, by our operator's word.
+
+        ``renew``: a cordon that stands becomes a new one.
+        """
         wall_ms = time.time_ns() // 1_000_000
-        self._carry_out(self.view.set_cordon(clock(), wall_ms, endpoint, cordoned))
+        self._carry_out(self.view.set_cordon(clock(), wall_ms, endpoint, cordoned, renew))
 
     def declare_left(self, name: str) -> bool:
         """Write a member off by our operator's word; return False if it is unknown or active."""
--- a/arrowseam/membership/view.py
+++ b/arrowseam/membership/view.py
@@ -185,10 +185,12 @@
         self.streams.on_closed(token, outcome, data)
         return self._end_event()
 
-    def set_cordon(self, now: int, wall_ms: int, endpoint: str, cordoned: bool) -> list[Effect]:
-        """Cordon or uncordon an endpoint by our operator's word."""
+    def set_cordon(
+        self, now: int, wall_ms: int, endpoint: str, cordoned: bool, renew: bool = False
+    ) -> list[Effect]:
+        """Cordon or uncordon an endpoint by our operator's word; ``renew``: as a new cordon if it stands."""
         self._begin_event(now)
-        self.cordon_replication.set_locally(endpoint, cordoned, wall_ms)
+        self.cordon_replication.set_locally(endpoint, cordoned, wall_ms, renew)
         return self._end_event()
 
     def leave(self, now: int) -> list[Effect]:
--- a/arrowseam/rollouts/runtime.py
+++ b/arrowseam/rollouts/runtime.py
@@ -232,12 +232,19 @@
             case CordonEndpoint(endpoint, out):
                 self._cordon(endpoint, out)
             case AnnounceHalt(release_id):
-                self.membership.set_cordon(f"{HALT_PREFIX}{release_id}", True)
+                self._announce_halt(release_id)
             case CommandResult():
                 self._on_command_result(effect)
             case LogEvent(event, text, level):
                 log(event, f"agree: {text}", level)
 
+    def _announce_halt(self, release_id: int) -> None:
+        """Spread a halt; one that was resumed does not bind, and is announced anew."""
+        agent = self.agent
+        release = agent.replicated.state.releases.get(release_id) if agent is not None else None
+        is_halted = release is not None and agent is not None and agent.holder.is_halted(release)
+        self.membership.set_cordon(f"{HALT_PREFIX}{release_id}", True, renew=not is_halted)
+
     def _persist(self, effect: Persist) -> None:
         if self._worker is not None:
             self._worker.store(effect, self._on_records_stored, self._on_storage_failed)
--- a/tests/test_agree_processes.py
+++ b/tests/test_agree_processes.py
@@ -159,6 +159,22 @@
     assert t.harmed_clients(set()) == []
 
 
+def test_a_halt_after_a_resume_is_in_force_like_the_first(traffic) -> None:
+    """The second halt was answered ACK, but the mark of the first, which the resume outdid, stayed."""
+    cluster = traffic(3).cluster
+    good = bundle(1700)
+    words = f"release plan settings bytes={len(good)} soak_s=30 patience_s=60 gated=0"
+    assert cluster.ordered("n0", words, good).startswith("ACK")
+    assert cluster.ordered("n0", "release start").startswith("ACK")
+    for _ in range(3):
+        cluster.until(lambda: all(release(cluster, n)["state"] == "running" for n in cluster.names), 5)
+        assert cluster.ordered("n1", "release halt").startswith("ACK")
+        cluster.until(lambda: all(release(cluster, n)["state"] == "halted" for n in cluster.names), 5)
+        assert all(release(cluster, n)["halted"] for n in cluster.names)
+        assert cluster.ordered("n2", "release resume").startswith("ACK")
+        cluster.until(lambda: not any(release(cluster, n)["halted"] for n in cluster.names), 5)
+
+
 def test_a_minority_grants_nothing_and_a_halt_needs_no_quorum(traffic) -> None:
     t = traffic(5)
     cluster = t.cluster
