Cordons: one that the full set does not take, or a halt, is answered NAK

Operators saw: with 4,096 cordons known, one more, or a halt, was answered ACK; it was held at this proxy at most and replicated to nobody.

Cause: CordonSet.set_locally answers None for "no change" and for "full" alike, and control and the rollouts never asked.

Before, control answered ACK for one more, and the halt was announced as done, with no mark in the set.

Why it works: who gives the order asks for room first. Of the 4,096, 64 are kept for marks, so that a halt can be announced where cordons are refused.

--- a/arrowseam/control/parts.py
+++ b/arrowseam/control/parts.py
@@ -33,6 +33,9 @@
     def rows(self) -> Iterator[dict[str, Any]]:
         """Each member, each zone, and the cordons."""
 
+    def can_cordon(self, endpoint: str) -> bool:
+        """Whether a cordon of this endpoint would reach the cluster."""
+
     def set_cordon(self, endpoint: str, cordoned: bool) -> None:
         """Notify the cluster of a cordon or its end."""
 
--- a/arrowseam/control/server.py
+++ b/arrowseam/control/server.py
@@ -198,6 +198,8 @@
         return ACK
 
     def _cordon(self, endpoint: str) -> bytes:
+        if self.membership is not None and not self.membership.can_cordon(endpoint):
+            return b"NAK too many cordons are known in the cluster\n"
         return self._change_cordon(endpoint, True)
 
     def _uncordon(self, endpoint: str) -> bytes:
--- a/arrowseam/membership/cordons.py
+++ b/arrowseam/membership/cordons.py
@@ -15,6 +15,7 @@
 from arrowseam.membership.records import NAME_MAX, Number, fingerprint
 
 CORDONS_MAX = 4096  # entries; one more is not replicated
+MARKS_RESERVED = 64  # of them, for marks: a halt is possible where cordons are refused
 # Of the name of a mark: an entry that is no endpoint but spreads like one. ``!release-N`` announces a halt.
 MARK_PREFIX = "!"
 
@@ -64,17 +65,22 @@
         """Return the endpoints that are cordoned, sorted."""
         return sorted(name for name, cordon in self.by_endpoint.items() if cordon.is_cordoned)
 
+    def has_room_for(self, name: str) -> bool:
+        """Return whether an endpoint or a mark is known, or may still be added by our operator."""
+        reserved = 0 if name.startswith(MARK_PREFIX) else MARKS_RESERVED
+        return name in self.by_endpoint or len(self.by_endpoint) < CORDONS_MAX - reserved
+
     def set_locally(
         self, endpoint: str, cordoned: bool, author: str, wall_ms: int, renew: bool = False
     ) -> Cordon | None:
         """Cordon or uncordon as our operator says. None if that changes nothing, or the set is full.
 
-        ``renew`` gives a cordon that stands a new timestamp: what was decided by the old one does not bind it.
+        ``renew`` gives a cordon that stands a new timestamp: what was decided by the old one binds it not.
         """
         known = self.by_endpoint.get(endpoint)
         if cordoned == (known is not None and known.is_cordoned) and not (cordoned and renew):
             return None
-        if known is None and len(self.by_endpoint) >= CORDONS_MAX:
+        if not self.has_room_for(endpoint):
             return None
         if cordoned or known is None:
             update = Cordon(endpoint, self.clock.next_timestamp(wall_ms), author)
--- a/arrowseam/membership/runtime.py
+++ b/arrowseam/membership/runtime.py
@@ -229,6 +229,10 @@
 
     # --- orders ---
 
+    def can_cordon(self, endpoint: str) -> bool:
+        """Whether a cordon of this endpoint, or such a mark, would be replicated."""
+        return self.view.cordons.has_room_for(endpoint)
+
     def set_cordon(self, endpoint: str, cordoned: bool, renew: bool = False) -> None:
         """Cordon or uncordon an endpoint at all proxies, by our operator's word.
 
--- a/arrowseam/rollouts/runtime.py
+++ b/arrowseam/rollouts/runtime.py
@@ -47,6 +47,7 @@
 from arrowseam.rollouts.storage_worker import StorageWorker
 from arrowseam.workers.process import WorkerEndedError
 
+NO_ROOM_FOR_HALT = "too many cordons and halts are known in the cluster: not announced"
 OBSERVE_INTERVAL = 200 * MS
 COMMAND_TIMEOUT = 5 * SECOND  # after which an operator hears that nothing was committed
 START_POLL_INTERVAL = 20 * MS
@@ -373,6 +374,8 @@
         agent = self.agent
         if agent is None:
             return NOT_BEGUN
+        if not self.membership.can_cordon(f"{HALT_PREFIX}{release_id}"):
+            return NO_ROOM_FOR_HALT
         self._execute(agent.announce_halt(clock(), unix_ms(), release_id))
         self._on_cluster_changed()
         return ""
--- a/tests/test_wire_bytes_proxy.py
+++ b/tests/test_wire_bytes_proxy.py
@@ -257,6 +257,9 @@
     def counter_lines(self) -> Iterator[str]:
         return iter(["edge.fleet:3|g"])
 
+    def can_cordon(self, endpoint: str) -> bool:
+        return True
+
     def set_cordon(self, endpoint: str, cordoned: bool) -> None:
         pass
 
