Cordon file: what is out by a drain only is not kept over a crash

Callers saw: one proxy that had crashed sent nothing to an endpoint that was undrained meanwhile and that all others used, until an operator uncordoned it there.

Cause: at each cordon the file was written with all that the balancer held, also what was out by an agreed drain; a start takes the file's endpoints for cordoned by hand, which the end of a drain does not touch.

Evidence: with s0 drained, `cordon s1` wrote s0 and s1 (the new test, before).

Why it works: the file, and the hand-over by the same rule, take what is cordoned by hand, also if it is drained as well. Four cases pass, and the tests of cordons over upgrades and crashes (8).

--- a/arrowseam/hot_restart/cordon_file.py
+++ b/arrowseam/hot_restart/cordon_file.py
@@ -1,6 +1,6 @@
 """The file by which cordons outlive a crash: a JSON array with the names of the cordoned endpoints.
 
-It is written at each cordon and uncordon made at this process, with all cordons that the balancer holds then.
+It is written at each cordon and uncordon made at this process, with all that are cordoned by hand then.
 """
 
 from __future__ import annotations
--- a/arrowseam/proxy/cluster.py
+++ b/arrowseam/proxy/cluster.py
@@ -57,6 +57,10 @@
         """Whether an endpoint is out by consensus of the proxies."""
         return self.rollouts is not None and self.rollouts.is_out_by_plan(endpoint)
 
+    def is_cordoned_by_operators(self, endpoint: str) -> bool:
+        """Whether an endpoint is cordoned by hand at all proxies."""
+        return self.membership is not None and endpoint in self.membership.view.cordons.cordoned()
+
     def _configure_membership(self, settings: Fleet | None) -> None:
         if self.membership is not None:
             if self.membership.fleet == settings:
--- a/arrowseam/proxy/hot_restart.py
+++ b/arrowseam/proxy/hot_restart.py
@@ -53,24 +53,34 @@
 
     def on_own_cordon_change(self, endpoint: str, cordoned: bool) -> None:
         """An endpoint was cordoned or uncordoned at this process."""
-        self.cordon_file.save(self.proxy.driver.cordoned)
+        kept = self._cordoned_by_operators()
+        if cordoned and endpoint not in kept:
+            kept.append(endpoint)  # out by a drain too; the cluster is told of the cordon after this
+        self.cordon_file.save(kept)
         self.hot_restart.notify_cordon_change(endpoint, cordoned)
 
+    def _cordoned_by_operators(self) -> list[str]:
+        """The endpoints that are cordoned by hand.
+
+        What is out by a drain only is not among them: a process that starts hears from the other proxies what
+        is out, and would keep out for ever what has come back while it was down.
+        """
+        cluster = self.proxy.cluster
+        return [
+            endpoint
+            for endpoint in self.proxy.driver.cordoned
+            if not cluster.is_cordoned_by_rollout(endpoint) or cluster.is_cordoned_by_operators(endpoint)
+        ]
+
     # --- what HotRestart asks of the proxy ---
 
     def export_state(self) -> HandoverState:
         """What the new process starts with."""
         proxy = self.proxy
         sources = proxy.endpoint_sources
-        # The new process hears from the other proxies what is out by rollouts.
-        cordoned = [
-            endpoint
-            for endpoint in proxy.driver.cordoned
-            if not proxy.cluster.is_cordoned_by_rollout(endpoint)
-        ]
         return HandoverState(
             endpoint_list=proxy.discovery.export_list(),
-            cordoned=tuple(cordoned),
+            cordoned=tuple(self._cordoned_by_operators()),
             uncordoned_at=proxy.driver.uncordoned_at,
             endpoint_sources=sources.export_state() if sources is not None else None,
             connection_ids=tuple(sorted(proxy.edge_server.connection_ids)),
