--- a/arrowseam/lab/soak_stand_ins.py
+++ b/arrowseam/lab/soak_stand_ins.py
@@ -32,8 +32,8 @@
 def own_host() -> str:
     """Return a loopback address that no other process of this machine uses.
 
-    Listeners share ports (``SO_REUSEPORT``): on one address two runs, or two stand-ins whose ports the system
-    chooses, may get the same port without an error, and each other's connections.
+    Listeners share ports (``SO_REUSEPORT``): on one address two runs that choose the same ports listen there
+    without an error, and get each other's connections.
     """
     pid = os.getpid()
     return f"127.{1 + (pid >> 16) % 250}.{pid >> 8 & 255}.{pid & 255}"
