Membership: a member that can receive and not send is told of cordons

Callers saw: they were sent on to a cordoned endpoint, by the one proxy whose datagrams and streams to the others were lost while theirs came.

Cause: the others hold it for dead. Updates go to active members only, and what is tried on dead ones are streams, which need both ways.

Why it works: an attempt to reach a member that is not proven to have ended comes with a datagram of the heartbeats and of as many cordons as fit, drawn by lot, news or not. These attempts are bounded whatever the number of the dead, and a datagram looks at 40 cordons at most.

The nine cases of the new test failed before, and pass, within 6 s for a cordon and its end.

--- a/arrowseam/membership/dissemination.py
+++ b/arrowseam/membership/dissemination.py
@@ -22,6 +22,7 @@
 PUSH_RECEIVERS = 4
 PUSH_DELAY = 20 * MS  # updates of so long go out together
 PUSH_GAP = 100 * MS  # between two pushes
+CORDONS_TRIED = 40  # for one datagram, which holds no more of them
 ARRAY_HEADERS = 16  # bytes that the arrays of a datagram may grow by when they are filled
 SENDS_HEARTBEATS = (MessageKind.PING, MessageKind.PUSH)
 
@@ -93,6 +94,24 @@
         self.send(target.address, self.compose(MessageKind.PING, number, first, with_gossip=with_gossip))
         return number
 
+    def send_cordons(self, target: MemberRecord) -> None:
+        """Send the heartbeats of the zones, and cordons by lot, as many as fit, whether they are news or not.
+
+        What is queued is passed on a few times and may have left the queue long ago.
+        """
+        bare = self.compose(MessageKind.PUSH, 0, with_gossip=False)
+        room = codec.DATAGRAM_MAX - len(codec.encode_datagram(bare)) - ARRAY_HEADERS
+        known = list(self.view.cordons.by_endpoint.values())
+        if not known and not self.view.zones.others:
+            return
+        cordons = []
+        for cordon in self.context.random.sample(known, min(len(known), CORDONS_TRIED)):
+            room -= codec.encoded_size(cordon)
+            if room < 0:
+                break
+            cordons.append(cordon)
+        self.send(target.address, msgspec.structs.replace(bare, cordons=cordons))
+
     # --- pushes ---
 
     def spread_cordon(self, cordon: Cordon) -> None:
--- a/arrowseam/membership/reconnection.py
+++ b/arrowseam/membership/reconnection.py
@@ -99,15 +99,9 @@
             # Of those that others hold for ended we want evidence of our own, which nobody else brings.
             if record.state in ENDED_STATES or rnd.random() < probability:
                 self.view.streams.probe(record)
-                self._send_heartbeats(record)
-
-    def _send_heartbeats(self, record: MemberRecord) -> None:
-        """Tell a member that may still run, and hear us, of the zones.
-
-        If all that it sends is lost and it receives, nobody else sends to it: it would hold all zones silent.
-        """
-        if self.view.zones.others:
-            self.view.dissemination.ping(record, with_gossip=False)
+                # If all that it sends is lost and it receives, nobody else sends to it: it would serve by old
+                # cordons, and hold all zones silent.
+                self.view.dissemination.send_cordons(record)
 
     def _try_others(self, seeds: list[Address]) -> None:
         counted_out = sorted(self.view.evidence.counted_out)
--- a/tests/test_zone_silence.py
+++ b/tests/test_zone_silence.py
@@ -4,6 +4,8 @@
 
 import random
 
+import pytest
+
 from arrowseam.lab.schedule_drawing import ZoneFault
 from arrowseam.lab.schedules import Step, ZoneSchedule
 from arrowseam.lab.simulated_cluster import MS, SECOND, SimulatedCluster
@@ -192,3 +194,19 @@
     net.run(net.now + 20 * SECOND)
     assert not is_silent(net, "m0", "b")
     assert [at for at in reports(net, "m0", "zone.silent", "b") if at > began] == []
+
+
+@pytest.mark.parametrize("zones", [None, {"a": 12, "b": 4}, {"a": 40, "b": 4}], ids=["flat", "12", "40"])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_member_that_cannot_send_still_hears_of_cordons(zones: dict[str, int] | None, seed: int) -> None:
+    """Its cluster held it for dead and told it nothing: it went on sending clients to a cordoned endpoint."""
+    net = SimulatedCluster(sum(zones.values()) if zones else 12, seed, zones=zones)
+    net.stand()
+    net.run(net.now + 5 * SECOND)
+    net.partition(["m0"], net.names[1:], one_way=True)
+    net.run(net.now + 15 * SECOND)
+    net.cordon("m1", "s1", True)
+    assert net.until(lambda: "s1" in net.running["m0"].cordoned, 6 * SECOND) is not None
+    net.run(net.now + 30 * SECOND)
+    net.cordon("m1", "s1", False)
+    assert net.until(lambda: "s1" not in net.running["m0"].cordoned, 6 * SECOND) is not None
