--- a/tests/test_drawn_worlds.py
+++ b/tests/test_drawn_worlds.py
@@ -9,6 +9,7 @@
 import random
 import traceback
 from collections import Counter
+from collections.abc import Callable
 
 import pytest
 from helpers import MS, SECOND, START
@@ -150,13 +151,13 @@
         return tuple(self.draw_number(0.1, 0.7, 1.3, 5.0) for _ in range(self.rnd.randint(0, 2)))
 
     def draw_event(self) -> Event | None:
-        rnd = self.rnd
-        kinds = {
-            "arrival": 30, "connected": 25, "ended": 25, "load": 15, "latency": 15, "health check": 6,
-            "list": 4, "cordon": 2, "abandoned": 3, "aborted": 1, "settings": 1, "adopted": 1,
+        weights: dict[Callable[[], Event | None], int] = {
+            self._draw_arrival: 30, self._draw_connected: 25, self._draw_ended: 25, self._draw_load: 15,
+            self._draw_latency: 15, self._draw_health_check: 6, self._draw_list: 4, self._draw_cordon: 2,
+            self._draw_abandoned: 3, self._draw_aborted: 1, self._draw_settings: 1, self._draw_adopted: 1,
         }  # fmt: skip
-        (kind,) = rnd.choices(list(kinds), list(kinds.values()))
-        return getattr(self, "_draw_" + kind.replace(" ", "_"))()
+        (draw,) = self.rnd.choices(list(weights), list(weights.values()))
+        return draw()
 
     def _draw_arrival(self) -> Event:
         arrived = self.draw_arrival()
