NATS: the final answer is due before the client gives up

Callers saw: a NATS client whose request could not be placed read its answer after its class's deadline, when one that keeps to it has gone.

Cause: the line protocol takes 15 ms off a client's deadline for the way and the own queue; the NATS server did not.

The NATS case of the new test failed before, the other passed.

Why it works: both protocols take the same margin, which stands beside the request now. Also: soak_mutants.py imported the commands, against the order of layers, and starts the program as a module now.

--- a/arrowseam/client_request.py
+++ b/arrowseam/client_request.py
@@ -9,6 +9,10 @@
 
 from arrowseam.balancer.settings import RequestClass
 
+# A client's deadline counts from its sending: what the way here and back, and our own queue, may take of it,
+# in microseconds.
+DEADLINE_MARGIN = 15_000
+
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
--- a/arrowseam/lab/soak_mutants.py
+++ b/arrowseam/lab/soak_mutants.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import runpy
 import sys
 from collections.abc import Callable
 from dataclasses import replace
@@ -67,7 +68,4 @@
 
 if __name__ == "__main__":
     MUTANTS[sys.argv.pop(1)]()
-    process_signals.record_signals()
-    from arrowseam.cli import main
-
-    main(prog_name="arrowseam")
+    runpy.run_module("arrowseam", run_name="__main__", alter_sys=True)
--- a/arrowseam/protocols/edge/messages.py
+++ b/arrowseam/protocols/edge/messages.py
@@ -21,15 +21,13 @@
 import re
 from dataclasses import dataclass
 
-from arrowseam.client_request import Request
+from arrowseam.client_request import DEADLINE_MARGIN, Request
 from arrowseam.config.proxy import Config
 from arrowseam.errors import ArrowseamError
 from arrowseam.net.clock import MS, SECOND
 from arrowseam.outcomes import AttemptOutcome
 
 LINE_BYTES_MAX = 4096
-# A client's deadline counts from its sending: what the way here and back, and our own queue, may take of it.
-DEADLINE_MARGIN = 15 * MS
 # The longest deadline that an adopted connection may name: the run counts it as lost after 40 s.
 ADOPTION_DEADLINE = 38 * SECOND
 
--- a/arrowseam/protocols/nats/server.py
+++ b/arrowseam/protocols/nats/server.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from arrowseam import __version__
-from arrowseam.client_request import Request
+from arrowseam.client_request import DEADLINE_MARGIN, Request
 from arrowseam.config.proxy import Config
 from arrowseam.net.clock import SECOND, clock
 from arrowseam.net.connection import Connection
@@ -135,7 +135,7 @@
             request_class=request_class,
             tenant_index=tenant_index,
             flow_key=int.from_bytes(blake2b(str(name).encode(), digest_size=8).digest(), "big"),
-            deadline=clock() + request_class.deadline,
+            deadline=clock() + max(0, request_class.deadline - DEADLINE_MARGIN),
             name=f"nats-{self._client_count}",
             has_client_left=lambda: conn.peer_closed,
         )
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,6 +16,7 @@
 import pytest
 from network import LANE, SETTINGS, World, create_worlds, free_port
 
+from arrowseam.client_request import DEADLINE_MARGIN
 from arrowseam.net.clock import MS, SECOND, clock
 from arrowseam.net.connection import Connection
 from arrowseam.net.listener import Listener
@@ -430,6 +431,17 @@
     assert not raw.has("failed")
 
 
+def test_the_final_answer_is_due_before_the_client_gives_up(world):
+    """On NATS it was due at the end of the class's deadline, when the client had gone."""
+    w = world("silent")
+    began = clock()
+    w.client(1, b"resident")
+    w.until(lambda: w.handler.active)
+    (request,) = w.handler.active.values()
+    due = request.request_class.deadline - DEADLINE_MARGIN
+    assert began + due <= request.deadline <= clock() + due
+
+
 def test_a_late_answer_to_an_attempt_that_was_given_up_goes_to_nobody(world):
     w = world("silent", "up")
     seen = [Raw(w).open(n) for n in range(1, 9)]
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -19,6 +19,7 @@
 
 from arrowseam.address import parse_address
 from arrowseam.balancer.events import HealthCheckEnded, UpdateKind
+from arrowseam.client_request import DEADLINE_MARGIN
 from arrowseam.config.proxy import ConfigError, read_config
 from arrowseam.endpoint_list import EndpointIds
 from arrowseam.endpoint_sources.records import read_update
@@ -163,7 +164,7 @@
     assert found.is_reconnect
     assert found.adopted_endpoint == "s7"
     # The client's clock began before ours.
-    assert found.deadline == 100 + 1500 * MS - edge_messages.DEADLINE_MARGIN
+    assert found.deadline == 100 + 1500 * MS - DEADLINE_MARGIN
 
 
 @pytest.mark.parametrize("end", [b"\n", b"\r\nOPEN 02 0a c=tech,t=acme,d=1800\r\n"])
@@ -182,7 +183,7 @@
     found = edge_messages.create_request(
         edge_messages.parse_opening(b"OPEN 9b 7f c=tech,d=999999999"), config(), 0
     )
-    assert found.deadline == 1800 * MS - edge_messages.DEADLINE_MARGIN
+    assert found.deadline == 1800 * MS - DEADLINE_MARGIN
 
 
 def test_the_id_of_an_open_connection_is_refused_and_the_first_is_not_harmed(world):
