--- a/arrowseam/lab/soak_plan.py
+++ b/arrowseam/lab/soak_plan.py
@@ -20,6 +20,7 @@
 REPEAT_WINDOW = SECOND  # in which endpoints drop repeats of a keyed request
 OPENING_TIMEOUT = 2 * SECOND
 ENDPOINT_MODES = ("up", "up", "up", "busy", "error", "reset", "silent", "late")
+REFUSES = "refuse"  # nobody listens
 ENDPOINT_COUNT = 4
 CROWD_IDLE, CROWD_BURST = 120, 30
 DESCRIPTOR_LIMIT = 160
@@ -113,6 +114,7 @@
 class SoakPlan:
     """All that one run does. ``restart_at``: a second process takes over then; 0 = none does.
 
+    ``crash_at``: it is killed then, and started again; 0 = it is not.
     ``end_at``: SIGTERM; ``signals_after_end`` come that long after it. ``settles``: all clients leave before,
     and the process has time to let go of them.
     """
@@ -128,6 +130,7 @@
     end_at: int
     signals_after_end: tuple[SignalStep, ...]
     settles: bool
+    crash_at: int = 0
 
 
 def draw_plan(seed: int, seconds: float = 4.0) -> SoakPlan:
@@ -155,13 +158,26 @@
         for _ in range(rnd.choice((0, 1, 2, 6)))
     ]
     restart_at = rnd.randrange(SECOND, end_at) if rnd.random() < 0.25 else 0
+    crash_at, refusals = _draw_crash_and_refusals(seed, end_at)
     return SoakPlan(
-        seed, modes, _in_order(clients), _in_order(endpoint_steps), _in_order(list_steps),
+        seed, modes, _in_order(clients), _in_order(endpoint_steps + refusals), _in_order(list_steps),
         _in_order(discovery_steps), _in_order(signals), restart_at, end_at, _draw_last_signals(rnd),
-        settles=not restart_at and rnd.random() < 0.25,
+        settles=not restart_at and rnd.random() < 0.25, crash_at=0 if restart_at else crash_at,
     )  # fmt: skip
 
 
+def _draw_crash_and_refusals(seed: int, end_at: int) -> tuple[int, list[EndpointStep]]:
+    """Draw from numbers of their own, so that the rest of a seed stays what it was."""
+    rnd = random.Random(f"{seed}: crash and refusals")
+    crash_at = rnd.randrange(end_at // 4, end_at // 2) if rnd.random() < 0.2 else 0
+    refusals = []
+    for _ in range(rnd.choice((0, 0, 1, 2))):
+        at, endpoint = rnd.randrange(end_at), rnd.randrange(1, ENDPOINT_COUNT)
+        refusals.append(EndpointStep(at, endpoint, REFUSES))
+        refusals.append(EndpointStep(at + rnd.randrange(2 * SECOND), endpoint, rnd.choice(ENDPOINT_MODES)))
+    return crash_at, refusals
+
+
 def _in_order(steps: list[Step]) -> tuple[Step, ...]:
     return tuple(sorted(steps, key=lambda step: step.at))
 
--- a/arrowseam/lab/soak_player.py
+++ b/arrowseam/lab/soak_player.py
@@ -131,6 +131,8 @@
         self._drains: dict[int, int] = {}
         self._run_delays: dict[SoakProcess, int] = {}  # of each process, when it was last looked at
         self._delays_until = 0
+        self._crashed_requests: set[int] = set()  # of clients that were there at a crash
+        self._process_count = 0
 
     # --- files ---
 
@@ -202,7 +204,8 @@
         self._drains.update(told)
 
     def _start_process(self) -> SoakProcess:
-        process = SoakProcess(self.folder, len(self.processes), self.program)
+        process = SoakProcess(self.folder, self._process_count, self.program)
+        self._process_count += 1
         self.processes.append(process)
         due = clock() + START_TIMEOUT
         if not self._run_until(lambda: "listens on" in process.log_path.read_text(), due):
@@ -229,7 +232,7 @@
 
     def _set_mode(self, endpoint: int, mode: str) -> None:
         for wire in Wire:
-            self.endpoints[wire][endpoint].mode = mode
+            self.endpoints[wire][endpoint].set_mode(mode)
 
     def _set_discovery(self, mode: DiscoveryMode) -> None:
         self.discovery.mode = mode
@@ -294,12 +297,16 @@
 
     def _play_steps(self) -> None:
         before = self.processes[0].descriptors()
-        began, steps, restart_at = clock(), self._steps(), self.plan.restart_at
+        began, steps = clock(), self._steps()
+        restart_at, crash_at = self.plan.restart_at, self.plan.crash_at
         while steps or clock() < began + self.plan.end_at:
             due = began + (steps[0][0] if steps else self.plan.end_at)
             if restart_at and clock() >= began + restart_at:
                 restart_at = 0
                 self._restart()
+            if crash_at and clock() >= began + crash_at:
+                crash_at = 0
+                self._crash()
             self._run_until(lambda due=due: clock() >= due, due)  # type: ignore[misc]
             while steps and clock() >= began + steps[0][0]:
                 steps.pop(0)[1]()
@@ -315,6 +322,15 @@
         self._start_process()
         former.send("SIGTERM")
 
+    def _crash(self) -> None:
+        """Kill the process and start it again; what its clients had is not judged."""
+        self.processes.pop().kill()
+        lost = {client.record.request_id for client in self.clients}
+        self.record.clients.clear()
+        self.record.attempts[:] = [a for a in self.record.attempts if a.request_id not in lost]
+        self._crashed_requests |= lost
+        self._start_process()
+
     def _end(self) -> None:
         """SIGTERM, the last signals, and SIGKILL at the earliest moment at which it may come."""
         term_at = self.record.term_at = clock()
@@ -329,6 +345,8 @@
         for one in self.processes:
             one.kill()
         self.record.ended_at = clock()
+        lost = self._crashed_requests  # an attempt that was being made may have come after the crash
+        self.record.attempts[:] = [a for a in self.record.attempts if a.request_id not in lost]
         self._run_until(lambda: False, clock() + 50 * MS)  # what the end of the process brings
         for endpoint, told_at in self._drains.items():
             self.record.drains.append((endpoint, told_at, 0))
--- a/arrowseam/lab/soak_stand_ins.py
+++ b/arrowseam/lab/soak_stand_ins.py
@@ -12,7 +12,16 @@
 from typing import Any
 
 from arrowseam.address import Address
-from arrowseam.lab.soak_plan import DEADLINE, MS, SECOND, SHORT_DEADLINE, DiscoveryMode, RequestKind, Wire
+from arrowseam.lab.soak_plan import (
+    DEADLINE,
+    MS,
+    REFUSES,
+    SECOND,
+    SHORT_DEADLINE,
+    DiscoveryMode,
+    RequestKind,
+    Wire,
+)
 from arrowseam.lab.stand_ins import PROTOCOL_MESSAGES
 from arrowseam.net.clock import clock
 from arrowseam.net.connection import Connection
@@ -93,14 +102,23 @@
 
     def __init__(self, loop: EventLoop, wire: Wire, number: int, mode: str, attempts: list[Attempt]) -> None:
         self.loop, self.wire, self.number, self.mode, self.attempts = loop, wire, number, mode, attempts
-        self.listener = listen(loop, (own_host(), ENDPOINT_PORTS[wire] + number), f"s{number}", self.serve)
+        self._address = own_host(), ENDPOINT_PORTS[wire] + number
+        self.listener = listen(loop, self._address, f"s{number}", self.serve)
 
     @property
     def address(self) -> str:
         """HOST:PORT."""
-        host, port = self.listener.address
+        host, port = self._address
         return f"{host}:{port}"
 
+    def set_mode(self, mode: str) -> None:
+        """Answer so from now on; nobody listens while it refuses."""
+        if mode == REFUSES and self.mode != REFUSES:
+            self.listener.close()
+        elif mode != REFUSES and self.mode == REFUSES:
+            self.listener = listen(self.loop, self._address, f"s{self.number}", self.serve)
+        self.mode = mode
+
     def serve(self, conn: Connection) -> Coroutine[None]:
         """Serve one connection of a proxy."""
         words, got, attempt = PROTOCOL_MESSAGES[self.wire], bytearray(), None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from arrowseam.cli import main
 from arrowseam.lab import soak, soak_judge
 from arrowseam.lab.soak_judge import ProcessRecord, SoakRecord, judge
-from arrowseam.lab.soak_plan import MS, SECOND, RequestKind, Wire, draw_plan
+from arrowseam.lab.soak_plan import MS, REFUSES, SECOND, RequestKind, Wire, draw_plan
 from arrowseam.lab.soak_stand_ins import Attempt, ClientRecord
 
 SEEDS = range(1, 9)
@@ -138,6 +138,8 @@
     plans = [draw_plan(seed) for seed in range(60)]
     assert any(plan.restart_at for plan in plans)
     assert any(plan.settles for plan in plans)
+    assert any(plan.crash_at for plan in plans)
+    assert any(step.mode == REFUSES for plan in plans for step in plan.endpoint_steps)
     assert any(len(plan.signals_after_end) > 100 for plan in plans)
     assert any(len(plan.clients) > 150 for plan in plans)
 
