Workers: a SIGHUP to the process group is for the proxy, not for its workers

Operators saw nothing yet; found when other places of the fault "ended by a signal" were looked for. A SIGHUP sent to the whole group, to have the proxy reload, ended a voter's state worker, after which the voter answers nothing that is not stored, and a script worker, after which the reload was refused.

Cause: both ignored SIGINT only; the file worker ignored both.

Evidence: the two cases of the new test failed before (never ignored within 20 s), the file worker's passed.

--- a/arrowseam/config/script.py
+++ b/arrowseam/config/script.py
@@ -204,7 +204,8 @@
 
 def main() -> None:
     """Answer the one line of standard input."""
-    signal.signal(signal.SIGINT, signal.SIG_IGN)  # an interrupt is for the proxy, which ends this process
+    for number in (signal.SIGINT, signal.SIGHUP):  # to the whole process group: they are for the proxy
+        signal.signal(number, signal.SIG_IGN)
     resource.setrlimit(resource.RLIMIT_AS, (MEMORY_BYTES_MAX, MEMORY_BYTES_MAX))
     resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
     line = sys.stdin.buffer.readline()
--- a/arrowseam/consensus/worker.py
+++ b/arrowseam/consensus/worker.py
@@ -43,7 +43,8 @@
 
 def main() -> None:
     """Serve one proxy until its end of input."""
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    for number in (signal.SIGINT, signal.SIGHUP):  # to the whole process group: they are for the proxy
+        signal.signal(number, signal.SIG_IGN)
     if not sys.stdin.buffer.readline():
         return
     path = Path(sys.argv[1])
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -142,3 +142,27 @@
         assert "listens on" not in proxy.log.read_text()
     finally:
         proxy.close()
+
+
+@pytest.mark.parametrize(
+    "module", ["arrowseam.consensus.worker", "arrowseam.config.script", "arrowseam.endpoint_sources.worker"]
+)
+def test_a_worker_ignores_what_is_sent_to_the_whole_process_group(module) -> None:
+    """A SIGHUP to the group, which asks the proxy for a reload, ended a voter's state worker."""
+    words = [sys.executable, "-m", module, "no file"]
+    with subprocess.Popen(words, stdin=subprocess.PIPE, stdout=subprocess.DEVNULL) as worker:
+        wanted = sum(1 << (number - 1) for number in (signal.SIGINT, signal.SIGHUP))
+        end = time.monotonic() + TIME_LIMIT
+        while ignored_signals(worker.pid) & wanted != wanted:
+            assert time.monotonic() < end
+            time.sleep(0.005)
+        worker.stdin.close()
+        assert worker.wait(TIME_LIMIT) == 0
+
+
+def ignored_signals(pid: int) -> int:
+    """The mask of the signals that a process ignores."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("SigIgn:"):
+            return int(line.split()[1], 16)
+    return 0
