A field that a watched file does not state no longer replaces what discovery tells

Callers saw keyed requests (dedup, key_scope cell) run twice after a reset while a watched file stood beside discovery, and restarted endpoints without a slow start.

Cause: MergedEndpointList took the whole record of the source of highest rank, and EndpointRecord could not say "not stated": a file without a cell was read as cell 0, without a weight as 1, without a type as none, without a start as long ago. With all endpoints in cell 0, allowed_endpoints let retries go to any of them.

The new test on sockets shows cell 0 in the merged list where discovery says 3 and 4; the rule of retries compares cells rightly.

Change: an unstated cell or weight is None. precedence.py merges field by field in order of rank; of starts the latest counts.

Tests replaced: test_a_valid_list_is_read_completely asserted that an unstated cell is 0, which is the fault; it now asserts that it is unknown. The recorded bytes of test_wire_bytes_proxy are unchanged; its inputs now state the cells and weights that the recorded version made up, and a new test holds the bytes of unstated ones.

--- a/arrowseam/balancer/events.py
+++ b/arrowseam/balancer/events.py
@@ -47,7 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """One entry of the endpoint list; ``started_at`` is the time of its last start, 0 = long ago."""
+    """One entry of the endpoint list.
+
+    ``started_at`` is the time of its last start, 0 = long ago. ``cell`` None = unknown.
+    """
 
     endpoint_id: int
     zone: int = 0
@@ -55,7 +58,7 @@
     machine_type: int = 0
     started_at: int = 0
     state: EndpointState = EndpointState.READY
-    cell: int = 0
+    cell: int | None = None
 
 
 @dataclass(slots=True)
--- a/arrowseam/cli/operators.py
+++ b/arrowseam/cli/operators.py
@@ -139,7 +139,7 @@
 def _print_shares(records: dict[str, EndpointRecord]) -> None:
     shares = traffic_shares(records)
     rows = [
-        (r.name, r.address, r.zone, r.state, r.weight, f"{shares.get(r.name, 0):.2%}")
+        (r.name, r.address, r.zone, r.state, r.effective_weight, f"{shares.get(r.name, 0):.2%}")
         for r in records.values()
     ]
     _print_table(rows, ("server", "address", "zone", "state", "weight", "share"))
--- a/arrowseam/endpoint_sources/file_sources.py
+++ b/arrowseam/endpoint_sources/file_sources.py
@@ -218,7 +218,7 @@
             generation=source.generation,
             good_ms=source.taken_at_ms,
         )
-        rows = list(source.records.values())
+        rows = [record.to_transfer() for record in source.records.values()]
         for start in range(0, len(rows), ROWS_PER_LINE):
             end = start + ROWS_PER_LINE
             yield from self._send(worker, do="hold", source=name, rows=rows[start:end], done=end >= len(rows))
@@ -249,7 +249,7 @@
             for _ in range(summary["lines"]):
                 part = yield from self._receive(worker)
                 started_at = clock()
-                changed.update({row[0]: EndpointRecord(*row) for row in part.get("rows", ())})
+                changed.update({row[0]: EndpointRecord.from_transfer(row) for row in part.get("rows", ())})
                 removed += part.get("removed", ())
                 self.busy_time += clock() - started_at
                 yield from self.loop.yield_turn()
--- a/arrowseam/endpoint_sources/merge.py
+++ b/arrowseam/endpoint_sources/merge.py
@@ -4,9 +4,8 @@
 effect completely and at once; the changes that result are taken in batches (``take_changes``), those of
 departing endpoints first.
 
-* An endpoint's address, zone, type and weight come from the source of the highest rank; of equal ranks, from
-  the one configured first.
-* An endpoint drains if any source lists it as draining.
+* Each field of an endpoint comes from the source of the highest rank that states it; of equal ranks, from the
+  one configured first. ``precedence.py`` has the rules for starts and drains.
 * An endpoint stays as long as any source names it. One that no file names any more is kept for ``settle``,
   since it may be moving from one file to another; then it drains for ``drain`` and until it has no
   connections, then it is removed. An endpoint that only the discovery service named is removed as soon as
@@ -24,6 +23,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from arrowseam.endpoint_sources.precedence import merge_records
 from arrowseam.endpoint_sources.records import DRAINING, READY, REMOVED, EndpointRecord
 
 DISCOVERY_SOURCE, INITIAL_SOURCE = "directory", "known"
@@ -93,11 +93,10 @@
 
 
 class Winner(NamedTuple):
-    """The source that provides an endpoint's fields, the fields, and whether any source drains it."""
+    """The source of highest rank that names an endpoint, and the merged record of all that name it."""
 
     source: Source
     record: EndpointRecord
-    is_draining: bool
 
 
 class ShownEndpoint(NamedTuple):
@@ -290,17 +289,13 @@
             self._claims.setdefault(record.address, {})[name] = None
             if not self._owns_address(name, winner.source, record.address):
                 return None
-        return record._replace(state=DRAINING) if winner.is_draining else record
+        return record
 
     def _find_winner(self, name: str) -> Winner | None:
-        source: Source | None = None
-        is_draining = False
-        for candidate in self._ranked:
-            record = candidate.records.get(name)
-            if record is not None:
-                source = source or candidate
-                is_draining = is_draining or record.state != READY
-        return Winner(source, source.records[name], is_draining) if source is not None else None
+        naming = [source for source in self._ranked if name in source.records]
+        if not naming:
+            return None
+        return Winner(naming[0], merge_records([source.records[name] for source in naming]))
 
     def _release_address(self, name: str, address: str) -> None:
         """Remove a claim on an address, and evaluate the other claimants: one of them may own it now."""
@@ -401,7 +396,7 @@
         return {
             "sources": {
                 name: {
-                    "members": [list(record) for record in source.records.values()],
+                    "members": [list(record.to_transfer()) for record in source.records.values()],
                     "generation": source.generation,
                     "good_ms": source.taken_at_ms,
                 }
@@ -409,7 +404,7 @@
                 if source.reported_at is not None and name != DISCOVERY_SOURCE
             },
             "leaving": [
-                [list(self.published[name]), max(0, departure.removed_at - now)]
+                [list(self.published[name].to_transfer()), max(0, departure.removed_at - now)]
                 for name, departure in self.departures.items()
                 if departure.removed_at and name in self.published
             ],
@@ -419,11 +414,11 @@
         """Take over the state of the previous process; raises KeyError, TypeError or ValueError."""
         for name, exported in state["sources"].items():
             if name in self.sources and self.sources[name].reported_at is None:
-                records = [EndpointRecord(*row) for row in exported["members"]]
+                records = [EndpointRecord.from_transfer(row) for row in exported["members"]]
                 generation, taken_at_ms = exported["generation"], int(exported["good_ms"])
                 self.report_list(name, records, now, generation, taken_at_ms, Origin.HANDOVER)
         for row, drain in state["leaving"]:
-            record = EndpointRecord(*row)
+            record = EndpointRecord.from_transfer(row)
             if record.name not in self.published:
                 self.published[record.name] = record._replace(state=READY)
                 self.published_since[record.name] = now
--- a/arrowseam/endpoint_sources/records.py
+++ b/arrowseam/endpoint_sources/records.py
@@ -23,6 +23,9 @@
     REMOVED: EndpointState.REMOVED,
 }
 
+DEFAULT_WEIGHT = 1.0  # of an endpoint whose weight no source states
+# In rows for another process, which may run an earlier version: that version takes any negative weight as 1.
+TRANSFERRED_NO_CELL, TRANSFERRED_NO_WEIGHT = -1, -1.0
 MICROSECONDS_PER_MILLISECOND = 1000
 # Unix time less the monotonic clock, in microseconds. Measured once, so that the same start time always
 # converts to the same value.
@@ -30,28 +33,35 @@
 
 
 class EndpointRecord(NamedTuple):
-    """One endpoint as a source reports it.
+    """One endpoint as a source reports it, or as merged from the records of several sources.
 
-    Snapshots, the worker and a hot restart transfer the fields by position. Zone and machine type are names,
-    since their positions may change with new settings.
+    A field that the source does not state is empty (texts), None (cell, weight) or 0 (start), so that another
+    source may state it. Zone and machine type are names, since their positions may change with new settings.
 
     Attributes:
         address: HOST:PORT; empty = unknown.
+        cell: None = unknown, which is no cell that another endpoint may share.
         state: READY, DRAINING or REMOVED.
-        started_at_ms: Unix milliseconds of its last start; 0 = long ago.
+        weight: None = not stated; it counts as ``DEFAULT_WEIGHT``.
+        started_at_ms: Unix milliseconds of its last start; 0 = long ago, or not stated.
     """
 
     name: str
     address: str
     zone: str = ""
     machine_type: str = ""
-    cell: int = 0
+    cell: int | None = None
     state: str = READY
-    weight: float = 1.0
+    weight: float | None = None
     started_at_ms: float = 0.0
 
+    @property
+    def effective_weight(self) -> float:
+        """The weight that it counts with."""
+        return DEFAULT_WEIGHT if self.weight is None else self.weight
+
     def to_row(self) -> dict[str, Any]:
-        """Return the record in the discovery service's format."""
+        """Return the record in the discovery service's format; an unknown cell is null."""
         return {
             "instanceId": self.name,
             "hostPort": self.address,
@@ -59,10 +69,29 @@
             "machineType": self.machine_type,
             "cell": self.cell,
             "lifecycle": self.state,
-            "weight": self.weight,
+            "weight": self.effective_weight,
             "startedAtMs": self.started_at_ms,
         }
 
+    def to_transfer(self) -> EndpointRecord:
+        """Return the record as snapshots, the worker and a hot restart transfer it, by position."""
+        if self.cell is not None and self.weight is not None:
+            return self
+        return self._replace(
+            cell=TRANSFERRED_NO_CELL if self.cell is None else self.cell,
+            weight=TRANSFERRED_NO_WEIGHT if self.weight is None else self.weight,
+        )
+
+    @classmethod
+    def from_transfer(cls, row: Iterable[Any]) -> EndpointRecord:
+        """Decode the fields of ``to_transfer``; raises TypeError if there are too few or too many."""
+        record = cls(*row)
+        if record.cell == TRANSFERRED_NO_CELL:
+            record = record._replace(cell=None)
+        if record.weight == TRANSFERRED_NO_WEIGHT:
+            record = record._replace(weight=None)
+        return record
+
 
 def read_record(row: Any) -> EndpointRecord:
     """Decode one row of the discovery service's list; raises DecodeError."""
@@ -75,15 +104,21 @@
     return EndpointRecord(
         name=row["instanceId"],
         address=address if isinstance(address, str) else "",
-        zone=str(row.get("zone")),
-        machine_type=str(row.get("machineType")),
-        cell=read_int(row, "cell"),
+        zone=_read_text(row, "zone"),
+        machine_type=_read_text(row, "machineType"),
+        cell=read_int(row, "cell") if row.get("cell") is not None else None,
         state=state,
-        weight=read_number(row, "weight", 1.0),
+        weight=read_number(row, "weight") if row.get("weight") is not None else None,
         started_at_ms=read_number(row, "startedAtMs"),
     )
 
 
+def _read_text(row: dict[str, Any], key: str) -> str:
+    """Read a text leniently; empty if the key is missing or null."""
+    value = row.get(key)
+    return "" if value is None else str(value)
+
+
 def read_records(document: Any) -> tuple[bool, int, list[EndpointRecord]]:
     """Decode a list; returns whether it is complete, its version, and its endpoints.
 
@@ -133,7 +168,7 @@
             Endpoint(
                 endpoint_id=ids.assign(record.name),
                 zone=config.zones.get(record.zone, len(config.zones)),
-                weight=record.weight,
+                weight=record.effective_weight,
                 machine_type=config.machine_types.get(record.machine_type, len(config.machine_types)),
                 started_at=_monotonic_time(record.started_at_ms),
                 state=STATES[record.state],
--- a/arrowseam/endpoint_sources/snapshots.py
+++ b/arrowseam/endpoint_sources/snapshots.py
@@ -52,7 +52,7 @@
     source: str, generation: int | None, taken_at_ms: int, records: Mapping[str, EndpointRecord]
 ) -> bytes:
     """Encode the content of a snapshot file."""
-    body = msgspec.json.encode(list(records.values()))
+    body = msgspec.json.encode([record.to_transfer() for record in records.values()])
     header = {
         "format": FORMAT,
         "version": VERSION,
@@ -82,7 +82,8 @@
         raise SnapshotError("cannot be read: invalid header")
     if any(record.state not in STATES for record in rows):
         raise SnapshotError("cannot be read: unknown lifecycle")
-    return Snapshot(source, generation, taken_at_ms, {record.name: record for record in rows})
+    records = map(EndpointRecord.from_transfer, rows)
+    return Snapshot(source, generation, taken_at_ms, {record.name: record for record in records})
 
 
 def _checked_header(line: bytes, source: str) -> dict[str, Any]:
--- a/arrowseam/endpoint_sources/traffic.py
+++ b/arrowseam/endpoint_sources/traffic.py
@@ -14,7 +14,9 @@
     if not ready:
         return {}
     zones = {zone: position for position, zone in enumerate(dict.fromkeys(record.zone for record in ready))}
-    weights = two_stage_shares([(zones[record.zone], scaled_weight(record.weight)) for record in ready])
+    weights = two_stage_shares(
+        [(zones[record.zone], scaled_weight(record.effective_weight)) for record in ready]
+    )
     total = sum(weights)
     return {record.name: weight / total for record, weight in zip(ready, weights, strict=True)}
 
--- a/arrowseam/endpoint_sources/validation.py
+++ b/arrowseam/endpoint_sources/validation.py
@@ -15,7 +15,7 @@
 from typing import Annotated, Any, NoReturn
 
 import msgspec
-from msgspec import Meta
+from msgspec import UNSET, Meta, UnsetType
 
 from arrowseam.address import parse_address
 from arrowseam.endpoint_sources.records import DRAINING, READY, EndpointRecord
@@ -50,9 +50,9 @@
     address: Annotated[str, Meta(max_length=64)] = msgspec.field(name="hostPort")
     zone: Annotated[str, Meta(max_length=128)]
     machine_type: Annotated[str, Meta(max_length=128)] = msgspec.field(name="machineType", default="")
-    cell: Annotated[int, Meta(ge=0, le=1 << 31)] = 0
+    cell: Annotated[int, Meta(ge=0, le=1 << 31)] | UnsetType = UNSET
     state: str = msgspec.field(name="lifecycle", default=READY)
-    weight: float = 1.0
+    weight: float | UnsetType = UNSET
     started_at_ms: Annotated[float, Meta(ge=0, le=1e15)] = msgspec.field(name="startedAtMs", default=0.0)
 
 
@@ -176,7 +176,7 @@
             raise ListRejectedError("twice-address", f"{where}: hostPort: already used by {owners[address]}")
         if row.state not in (READY, DRAINING):
             raise ListRejectedError("lifecycle", f"{where}: lifecycle: unknown {_quoted(repr(row.state))}")
-        if not math.isfinite(row.weight) or not 0.0 < row.weight <= WEIGHT_MAX:
+        if row.weight is not UNSET and not 0.0 < row.weight <= WEIGHT_MAX:  # NaN is neither
             raise ListRejectedError(
                 "weight", f"{where}: weight: {row.weight:g} is not above 0 and at most {WEIGHT_MAX:g}"
             )
@@ -186,9 +186,9 @@
             row.address,
             row.zone,
             row.machine_type,
-            row.cell,
+            None if row.cell is UNSET else row.cell,
             row.state,
-            row.weight,
+            None if row.weight is UNSET else row.weight,
             row.started_at_ms,
         )
     return records
@@ -218,7 +218,7 @@
 
 def ready_weight(records: Mapping[str, EndpointRecord]) -> float:
     """Return the sum of the weights of the ready endpoints."""
-    return math.fsum(record.weight for record in records.values() if record.state == READY)
+    return math.fsum(record.effective_weight for record in records.values() if record.state == READY)
 
 
 def compare(
@@ -258,7 +258,7 @@
     if before <= 0.0:
         return
     removed = math.fsum(
-        record.weight
+        record.effective_weight
         for record in current.values()
         if record.state == READY and (record.name not in new or new[record.name].state != READY)
     )
--- a/arrowseam/endpoint_sources/worker.py
+++ b/arrowseam/endpoint_sources/worker.py
@@ -117,7 +117,8 @@
             if key in request:
                 setattr(state, field_name, request[key])
         state.was_read, state.content = False, None
-        state.records.update({row[0]: EndpointRecord(*row) for row in request.get("rows", [])})
+        rows = request.get("rows", [])
+        state.records.update({row[0]: EndpointRecord.from_transfer(row) for row in rows})
         if request.get("done") and state.records and state.snapshot:
             state.snapshot_due_at = 0.0  # the previous worker may have ended before it wrote one
 
@@ -208,7 +209,8 @@
 def _encode_valid(state: SourceState, delta: validation.ListDelta, was_allowed: bool) -> list[bytes]:
     """Encode the answer for a valid list: a summary, then its changes."""
     lines = [msgspec.json.encode({"removed": names}) for names in _batches(delta.removed)]
-    lines += [msgspec.json.encode({"rows": rows}) for rows in _batches(delta.changed + delta.added)]
+    rows = [record.to_transfer() for record in delta.changed + delta.added]
+    lines += [msgspec.json.encode({"rows": batch}) for batch in _batches(rows)]
     summary = {
         "verdict": "good",
         "lines": len(lines),
--- a/tests/test_endpoint_source_rules.py
+++ b/tests/test_endpoint_source_rules.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from arrowseam.balancer.weights import scaled_weight
 from arrowseam.endpoint_sources import snapshots, validation
 from arrowseam.endpoint_sources.merge import (
     DISCOVERY_SOURCE,
@@ -16,7 +17,7 @@
     MergedEndpointList,
     SourceSettings,
 )
-from arrowseam.endpoint_sources.records import DRAINING, READY, REMOVED, EndpointRecord
+from arrowseam.endpoint_sources.records import DRAINING, READY, REMOVED, EndpointRecord, read_record
 from arrowseam.endpoint_sources.traffic import traffic_shares, traffic_shift
 
 MS, SECOND = 1_000, 1_000_000
@@ -52,7 +53,23 @@
     parsed = validation.parse(VALID)
     assert parsed.generation == 4
     assert parsed.records[ENDPOINT] == EndpointRecord(ENDPOINT, "10.1.0.1:5000", "katy")
-    assert parsed.records["s2"] == EndpointRecord("s2", "10.1.0.1:5001", "katy", "", 0, DRAINING, 2.5, 1e12)
+    second = EndpointRecord("s2", "10.1.0.1:5001", "katy", "", None, DRAINING, 2.5, 1e12)
+    assert parsed.records["s2"] == second
+
+
+def test_a_field_that_is_not_stated_is_not_read_as_its_default():
+    """Records could not tell a cell of 0 or a weight of 1 from none, so that a file overrode discovery."""
+    default = row(cell=0, weight=1.0, startedAtMs=0, machineType="")
+    stated, unstated = (
+        validation.parse(encode_list(fields)).records[ENDPOINT] for fields in (default, row())
+    )
+    assert (stated.cell, stated.weight) == (0, 1.0)
+    assert (unstated.cell, unstated.weight) == (None, None)
+    assert unstated.effective_weight == 1.0
+    with pytest.raises(validation.ListRejectedError, match="null"):
+        validation.parse(encode_list(row(cell=None)))
+    from_discovery = {"instanceId": "a", "hostPort": "10.0.0.1:1", "lifecycle": READY, "cell": None}
+    assert read_record(from_discovery) == EndpointRecord("a", "10.0.0.1:1")
 
 
 def test_a_list_truncated_at_any_byte_is_rejected():
@@ -227,6 +244,112 @@
     assert merged.next_change_at() == 3 + FILE.settle
 
 
+STATED = {"zone": "katy", "machineType": "gen2-std", "cell": 3, "weight": 2.5, "startedAtMs": 1e12}
+
+
+def create_discovery_record(**fields: Any) -> EndpointRecord:
+    return read_record({"instanceId": "a", "hostPort": "10.1.0.1:5000", "lifecycle": READY} | STATED | fields)
+
+
+def parse_row(**fields: Any) -> EndpointRecord:
+    return validation.parse(encode_list(row("a", **fields))).records["a"]
+
+
+@pytest.mark.parametrize("field", ["machineType", "cell", "weight", "startedAtMs"])
+def test_a_field_that_a_file_does_not_state_comes_from_discovery(field: str):
+    """Callers saw keyed requests run in two cells, and restarted endpoints without a slow start: the file
+    replaced the whole record of discovery, also the fields that it does not have.
+    """
+    merged = create_list()
+    merged.report_list(DISCOVERY_SOURCE, [create_discovery_record()], 0)
+    written = {"machineType": "gen3-fast", "cell": 7, "weight": 5.0, "startedAtMs": 2e12}
+    merged.report_list("f", [parse_row(**{key: value for key, value in written.items() if key != field})], 0)
+    (published,) = merged.take_changes(0)
+    assert published.to_row().items() >= (written | {field: STATED[field]}).items()
+    merged.report_list(DISCOVERY_SOURCE, [create_discovery_record(**{field: type(STATED[field])(9)})], 1)
+    (published,) = merged.take_changes(1)
+    assert published.to_row()[field] == {"startedAtMs": 9.0, "machineType": "9"}.get(field, 9)
+
+
+def test_the_latest_start_counts_whichever_source_states_it():
+    """A file still states the start before the last, and discovery the last. It must get a slow start."""
+    merged = create_list()
+    merged.report_list("f", [parse_row(startedAtMs=1e12)], 0)
+    merged.report_list(DISCOVERY_SOURCE, [create_discovery_record(startedAtMs=2e12)], 0)
+    assert [record.started_at_ms for record in merged.take_changes(0)] == [2e12]
+    merged.report_list("f", [parse_row(startedAtMs=3e12)], 1)
+    assert [record.started_at_ms for record in merged.take_changes(1)] == [3e12]
+
+
+def test_fields_that_a_file_does_not_state_stay_so_in_snapshots_and_a_hand_over():
+    """Otherwise a restarted proxy would take a default for a statement of the file."""
+    records = {"a": parse_row(), "b": EndpointRecord("b", "10.0.0.2:1", "z", "k", 0, READY, 1.0, 0.0)}
+    assert snapshots.decode(snapshots.encode("s", 4, 99, records), "s").records == records
+    merged = create_list(FILE)
+    merged.report_list("f", records.values(), 0)
+    merged.take_changes(0)
+    merged.report_list("f", [records["b"]], 1)
+    merged.take_changes(1)
+    merged.take_changes(1 + FILE.settle)
+    successor = create_list(FILE)
+    successor.import_state(json.loads(json.dumps(merged.export_state(2 + FILE.settle))), 1000)
+    assert successor.sources["f"].records == {"b": records["b"]}
+    assert successor.published == {"a": records["a"]}  # it drains
+    earlier = [["c", "10.0.0.3:1", "z", "k", 0, READY, 1.0, 0.0]]  # from an earlier version
+    assert EndpointRecord.from_transfer(earlier[0]).to_transfer() == tuple(earlier[0])
+
+
+def test_an_earlier_version_reads_unstated_fields_as_its_defaults():
+    """It takes over the state of this version on the way back; any negative weight counts as 1 there."""
+    transferred = EndpointRecord("a", "10.0.0.1:1", "z").to_transfer()
+    assert transferred == ("a", "10.0.0.1:1", "z", "", -1, READY, -1.0, 0.0)
+    assert scaled_weight(transferred.weight or 0.0) == scaled_weight(1.0)
+
+
+OPTIONAL = st.fixed_dictionaries(
+    {},
+    optional={
+        "machineType": st.sampled_from(["k", "l"]),
+        "cell": st.integers(0, 2),
+        "weight": st.sampled_from([1.0, 2.0]),
+        "startedAtMs": st.sampled_from([0, 1e12, 2e12]),
+        "lifecycle": st.sampled_from([READY, DRAINING]),
+    },
+)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([DISCOVERY_SOURCE, "f", "g"]), st.dictionaries(st.sampled_from("ab"), OPTIONAL)
+        ),
+        max_size=10,
+    )
+)
+def test_each_field_follows_the_first_source_that_states_it(reports):
+    """Against a plain model, for any lists in any order: no default may override a statement."""
+    merged = create_list()
+    lists: dict[str, dict[str, dict[str, Any]]] = {"f": {}, "g": {}, DISCOVERY_SOURCE: {}}
+    for now, (source, rows) in enumerate(reports):
+        lists[source] = rows
+        documents = [row(name, 5000 + ord(name), **fields) for name, fields in rows.items()]
+        if source == DISCOVERY_SOURCE:
+            records = [read_record({"lifecycle": READY} | document) for document in documents]
+        else:
+            records = list(validation.parse(encode_list(*documents)).records.values())
+        merged.report_list(source, records, now)
+        merged.take_changes(now)
+    for name in "ab":
+        stated = [rows[name] for rows in lists.values() if name in rows]
+        if not stated:
+            continue
+        shown = merged.published[name].to_row()
+        for field, default in (("machineType", ""), ("cell", None), ("weight", 1.0)):
+            assert shown[field] == next((fields[field] for fields in stated if field in fields), default)
+        assert shown["startedAtMs"] == max(fields.get("startedAtMs", 0) for fields in stated)
+        assert (shown["lifecycle"] == READY) == all(f.get("lifecycle", READY) == READY for f in stated)
+
+
 def test_a_removed_endpoint_settles_drains_and_is_gone():
     merged = create_list()
     merged.report_list("f", [create_record("a"), create_record("b")], 0)
--- a/tests/test_watched_files.py
+++ b/tests/test_watched_files.py
@@ -20,7 +20,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-from network import ProxyNetwork
+from network import REQUEST_CLASS, ProxyNetwork
 
 from arrowseam.config.operator import Operator, Servers
 from arrowseam.endpoint_sources.file_watcher import path_steps
@@ -229,6 +229,27 @@
     assert len(w.servers[2].live) == len(clients)
 
 
+def test_keyed_requests_stay_in_the_cell_that_discovery_tells_beside_a_file(create_folder):
+    """Connections are reset under keyed requests, and a file names the endpoints without their cells. Callers
+    saw requests run twice: retries went to another cell, which does not know their keys.
+    """
+    keyed = REQUEST_CLASS | {"effect": "dedup", "key_scope": "cell", "key_ttl": 5 * SECOND}
+    folder = create_folder(endpoint_count=6)
+    w = folder.create_world(lanes=[keyed, keyed | {"name": "resident"}])
+    for server in w.servers:
+        server.mode = "reset"
+    w.update_list(**{f"s{n}": {"cell": 3 + n % 2} for n in range(6)})
+    w.until(lambda: ready_names(w) == {f"s{n}" for n in range(6)})
+    folder.replace_accepted(w, folder.encode_list(w, *range(6)))
+    for _ in range(6):
+        received = [len(server.received) for server in w.servers]
+        client = w.client(next(w.numbers))
+        w.until(lambda client=client: client.ended_at)
+        tried = [n for n, server in enumerate(w.servers) if len(server.received) > received[n]]
+        assert tried
+        assert len({3 + n % 2 for n in tried}) == 1
+
+
 def test_without_discovery_the_initial_list_serves_until_files_are_read(create_folder):
     """There is no discovery service and the files cannot be read yet. The list of the configuration must
     be in force until then.
--- a/tests/test_wire_bytes_proxy.py
+++ b/tests/test_wire_bytes_proxy.py
@@ -61,10 +61,10 @@
 ENDPOINTS = {
     endpoint.name: endpoint
     for endpoint in (
-        EndpointRecord("s0", "127.0.0.1:5000", "z"),
+        EndpointRecord("s0", "127.0.0.1:5000", "z", "", 0, "Ready", 1.0, 0.0),
         EndpointRecord("s1", "127.0.0.1:5001", "z", "k", 3, "Ready", 2.5, 0.0),
         EndpointRecord("s2", "127.0.0.1:5002", "z", "", 0, "Terminating", 1.0, 1.6e12),
-        EndpointRecord("sé", "127.0.0.1:5003"),
+        EndpointRecord("sé", "127.0.0.1:5003", "", "", 0, "Ready", 1.0, 0.0),
     )
 }
 
@@ -81,6 +81,12 @@
     return ENDPOINT_LIST | {"generation": 8, "instances": ENDPOINT_LIST["instances"][:2]}
 
 
+def with_stated_fields(document: dict[str, Any]) -> dict[str, Any]:
+    """The recorded version took an unstated cell for 0 and an unstated weight for 1, as if stated."""
+    rows = [{"cell": 0, "weight": 1.0} | row for row in document["instances"]]
+    return document | {"instances": rows}
+
+
 @pytest.fixture(autouse=True)
 def folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
     monkeypatch.chdir(tmp_path)
@@ -209,14 +215,16 @@
     created: Any = EndpointSources(
         EventLoop(500), config(), driver, Operator(servers=specs, state_dir="state")
     )
-    created.on_discovery_update(UpdateKind.SNAPSHOT, 3, [EndpointRecord("s9", "127.0.0.1:5009", "z")])
+    created.on_discovery_update(
+        UpdateKind.SNAPSHOT, 3, [EndpointRecord("s9", "127.0.0.1:5009", "z", "", 0, "Ready", 1.0)]
+    )
     first, second = WorkerInThisProcess(), WorkerInThisProcess()
     created.files.worker = first
     Path("state").mkdir()
-    Path("list.json").write_text(json.dumps(ENDPOINT_LIST))
+    Path("list.json").write_text(json.dumps(with_stated_fields(ENDPOINT_LIST)))
     for name, always in (("list", True), ("list", False), ("gone", True)):
         list(created.files._read_file(name, always))
-    Path("list.json").write_text(json.dumps(shortened_endpoint_list()))
+    Path("list.json").write_text(json.dumps(with_stated_fields(shortened_endpoint_list())))
     created.files._allowed_until["list"] = NOW_US + 1
     list(created.files._read_file("list", True))
     first.worker.save_snapshots(time.monotonic(), even_if_not_due=True)
@@ -246,6 +254,21 @@
     assert snapshots.snapshot_path("state", "n0", "list").read_bytes() == recorded("snapshot.written")
 
 
+def test_unstated_fields_are_transferred_as_values_that_an_earlier_version_reads_as_its_defaults():
+    first, second, third, _ = ENDPOINTS.values()
+    unstated = first._replace(cell=None, weight=None)
+    encoded = snapshots.encode("list", 7, 0, {"s0": unstated, "s1": second, "s2": third._replace(cell=None)})
+    assert encoded.partition(b"\n")[2] == (
+        b'[["s0","127.0.0.1:5000","z","",-1,"Ready",-1.0,0.0],["s1","127.0.0.1:5001","z","k",3,"Ready",2.5,0.0],'
+        b'["s2","127.0.0.1:5002","z","",-1,"Terminating",1.0,1600000000000.0]]'
+    )
+    file_worker = worker.Worker()
+    Path("list.json").write_text(json.dumps(ENDPOINT_LIST))
+    file_worker.handle({"do": "hold", "source": "list", "file": "list.json"})
+    _, rows = file_worker.handle({"do": "read", "source": "list", "always": True, "allow": False})
+    assert b'["s0","127.0.0.1:5000","z","",-1,"Ready",-1.0,0.0]' in rows
+
+
 def test_exported_state_counters_and_rows_of_sources_are_unchanged(sources: Any):
     assert json.dumps(sources.merged.export_state(NOW_US)).encode() == recorded("members.export")
     assert "\n".join(sources.counter_lines()).encode() == recorded("members.counters")
