Servers whose cell no source states no longer count as one cell

Callers' keyed requests (dedup, key_scope cell) could run twice where files stand alone, or before discovery has told of a server: after a reset they were sent to any other server whose cell was not stated, or was 0.

Cause: an unstated cell was 0 in the records and in the balancer, so all such servers shared it. WIRE, rule 2: further sends "shall go solely to servers sharing a group with that attempt's server"; a server of unknown cell is not known to share one.

Change: Endpoint.cell is None where it is unknown, and allowed_endpoints then allows none, so that the request is answered as failed at once. The platform's discovery always states the cell; nothing changes there.

--- a/arrowseam/balancer/endpoints.py
+++ b/arrowseam/balancer/endpoints.py
@@ -12,6 +12,7 @@
 
     Attributes:
         entry: its entry in the endpoint list; ``zone``, ``cell``, ``state`` and ``weight`` are taken from it.
+        cell: None = unknown; it is then shared with no other endpoint.
         weight: list weight, scaled.
         share: its share of new connections among all ready endpoints, UQ1.31.
         load: of the connections and attempts of this proxy, in units of ``RequestArrived.expected_load``.
--- a/arrowseam/balancer/retries.py
+++ b/arrowseam/balancer/retries.py
@@ -47,6 +47,8 @@
     if request_class.deduplication_scope is DeduplicationScope.ZONE:
         return [endpoint for endpoint in ready if endpoint.zone == first.zone]
     if request_class.deduplication_scope is DeduplicationScope.CELL:
+        if first.cell is None:  # no other endpoint is known to share it
+            return []
         return [endpoint for endpoint in ready if endpoint.cell == first.cell]
     return None
 
