What a source says of a machine under a second name holds for the name that wins

Callers were sent to a machine that discovery drained, where a watched file names it by its host name and discovery by an id at the same address; its cell and start were lost as well, so keyed requests could run twice there.

Cause: of the names at one address one owns it, and only the records of that name were merged. A change of another name's record did not evaluate the owner.

Change: the records that other sources have of the address under other names are merged after the owner's own, and a change of one evaluates the owner, at once if it drains. Two names that one source lists at one address stay apart: they are two incarnations.

Measured: test_a_machine_that_discovery_knows_by_another_name_keeps_its_fields_and_drains failed before.

Test replaced: the model of test_the_merged_list_converges_to_what_the_sources_name asked only the records of the name whether an endpoint drains; it now asks those that other sources have of the machine too. It fails on the version before. Its other assertions stand.

--- a/arrowseam/endpoint_sources/merge.py
+++ b/arrowseam/endpoint_sources/merge.py
@@ -11,6 +11,7 @@
   connections, then it is removed. An endpoint that only the discovery service named is removed as soon as
   the service drops it.
 * One address under two names counts once: for the source of higher rank, else for the name that had it.
+  Another source's records of it under another name are of the same machine: they are merged as well.
 * A source that is no longer configured stays until all new ones have reported a valid list.
 """
 
@@ -284,12 +285,21 @@
         if winner is None:
             return None
         self._winners[name] = winner
-        record = winner.record
-        if record.address:
-            self._claims.setdefault(record.address, {})[name] = None
-            if not self._owns_address(name, winner.source, record.address):
-                return None
-        return record
+        if not winner.record.address:
+            return winner.record
+        claims = self._claims.setdefault(winner.record.address, {})
+        claims[name] = None
+        if len(claims) == 1:
+            return winner.record
+        claimants = sorted(claims, key=self._claim_priority, reverse=True)
+        if claimants[0] != name:
+            self._notify_owner(claimants[0], winner, previous)
+            return None
+        self._notify_losers(claimants[1:])
+        others = [self._winners[claimant] for claimant in claimants[1:]]
+        # A source that lists two names at one address means two incarnations, not one machine.
+        same_machine = [other.record for other in others if other.source is not winner.source]
+        return merge_records([winner.record, *same_machine])
 
     def _find_winner(self, name: str) -> Winner | None:
         naming = [source for source in self._ranked if name in source.records]
@@ -306,29 +316,32 @@
             if not claims:
                 del self._claims[address]
 
-    def _owns_address(self, name: str, source: Source, address: str) -> bool:
-        """Whether the endpoint is the one that may use an address, of those that claim it.
+    def _claim_priority(self, claimant: str) -> tuple[tuple[int, int], bool, str]:
+        """The sort key by which one of the names of an address owns it; the highest does.
 
         Otherwise one machine under two names would get two shares of the load.
         """
-        claims = self._claims[address]
-        if len(claims) == 1:
-            return True
-
-        def priority(claimant: str) -> tuple[tuple[int, int], bool, str]:
-            claiming_source = source if claimant == name else self._winners[claimant].source
-            published = self.published.get(claimant)
-            had_address = published is not None and published.address == address
-            return claiming_source.rank, had_address, claimant
-
-        owner = max(claims, key=priority)
-        if owner == name:
-            for claimant in claims:
-                if claimant != name and claimant in self.published and claimant not in self.departures:
-                    self._urgent[claimant] = None  # it has lost the address and leaves
-        elif owner not in self.published or owner in self.departures:
-            self._pending[owner] = None  # it has just become the owner
-        return owner == name
+        winner, published = self._winners[claimant], self.published.get(claimant)
+        had_address = published is not None and published.address == winner.record.address
+        return winner.source.rank, had_address, claimant
+
+    def _notify_owner(self, owner: str, winner: Winner, previous: Winner | None) -> None:
+        """Evaluate the owner of an address if it has just become so, or another name's record has changed."""
+        is_unchanged = (
+            previous is not None
+            and previous.source is winner.source
+            and previous.record == winner.record
+            and owner in self.published
+            and owner not in self.departures
+        )
+        if not is_unchanged:
+            (self._pending if winner.record.state == READY else self._urgent)[owner] = None
+
+    def _notify_losers(self, claimants: Iterable[str]) -> None:
+        """Evaluate published endpoints whose address another one owns: they leave."""
+        for claimant in claimants:
+            if claimant in self.published and claimant not in self.departures:
+                self._urgent[claimant] = None
 
     def _depart(self, name: str, published: EndpointRecord, now: int) -> EndpointRecord | None:
         """Take the next step of an endpoint that leaves: settle, drain, remove."""
