--- a/arrowseam/endpoint_sources/file_sources.py
+++ b/arrowseam/endpoint_sources/file_sources.py
@@ -12,9 +12,10 @@
 
 from arrowseam.config.operator import Servers
 from arrowseam.endpoint_sources.file_watcher import FileWatcher
-from arrowseam.endpoint_sources.merge import MergedEndpointList, Origin
+from arrowseam.endpoint_sources.merge import MergedEndpointList
 from arrowseam.endpoint_sources.records import EndpointRecord
 from arrowseam.endpoint_sources.snapshots import snapshot_path
+from arrowseam.endpoint_sources.source_state import Origin
 from arrowseam.endpoint_sources.wall_clock import age_text
 from arrowseam.endpoint_sources.worker import ROWS_PER_LINE
 from arrowseam.logs import log
--- a/arrowseam/endpoint_sources/sources.py
+++ b/arrowseam/endpoint_sources/sources.py
@@ -17,14 +17,9 @@
 from arrowseam.driver import BalancerDriver
 from arrowseam.endpoint_sources import status
 from arrowseam.endpoint_sources.file_sources import FileSources
-from arrowseam.endpoint_sources.merge import (
-    DISCOVERY_SOURCE,
-    INITIAL_SOURCE,
-    MergedEndpointList,
-    Origin,
-    SourceSettings,
-)
+from arrowseam.endpoint_sources.merge import MergedEndpointList
 from arrowseam.endpoint_sources.records import REMOVED, EndpointRecord, create_update, read_records
+from arrowseam.endpoint_sources.source_state import DISCOVERY_SOURCE, INITIAL_SOURCE, Origin, SourceSettings
 from arrowseam.endpoint_sources.wall_clock import unix_ms
 from arrowseam.logs import log
 from arrowseam.net.clock import MS, SECOND, clock
--- a/arrowseam/endpoint_sources/status.py
+++ b/arrowseam/endpoint_sources/status.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from arrowseam.endpoint_sources.file_sources import FileSources
-from arrowseam.endpoint_sources.merge import MergedEndpointList, Source
+from arrowseam.endpoint_sources.merge import MergedEndpointList
+from arrowseam.endpoint_sources.source_state import Source
 from arrowseam.endpoint_sources.wall_clock import unix_ms
 from arrowseam.net.clock import MS, clock
 
--- a/tests/test_endpoint_source_rules.py
+++ b/tests/test_endpoint_source_rules.py
@@ -11,13 +11,9 @@
 
 from arrowseam.balancer.weights import scaled_weight
 from arrowseam.endpoint_sources import snapshots, validation
-from arrowseam.endpoint_sources.merge import (
-    DISCOVERY_SOURCE,
-    INITIAL_SOURCE,
-    MergedEndpointList,
-    SourceSettings,
-)
+from arrowseam.endpoint_sources.merge import MergedEndpointList
 from arrowseam.endpoint_sources.records import DRAINING, READY, REMOVED, EndpointRecord, read_record
+from arrowseam.endpoint_sources.source_state import DISCOVERY_SOURCE, INITIAL_SOURCE, SourceSettings
 from arrowseam.endpoint_sources.traffic import traffic_shares, traffic_shift
 
 MS, SECOND = 1_000, 1_000_000
