--- a/arrowseam/config/decode.py
+++ b/arrowseam/config/decode.py
@@ -35,9 +35,15 @@
 
 def read_number(fields: dict[str, Any], key: str, default: float = 0.0) -> float:
     """Read a finite number; the default if the key is missing or null. Raises DecodeError."""
-    value = fields.get(key, default)
+    value = read_optional_number(fields, key)
+    return default if value is None else value
+
+
+def read_optional_number(fields: dict[str, Any], key: str) -> float | None:
+    """Read a finite number; None if the key is missing or null. Raises DecodeError."""
+    value = fields.get(key)
     if value is None:
-        return default
+        return None
     try:
         if not isinstance(value, bool) and isinstance(value, (int, float)) and math.isfinite(value):
             return float(value)
--- a/arrowseam/endpoint_sources/records.py
+++ b/arrowseam/endpoint_sources/records.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 from arrowseam.balancer.events import Endpoint, EndpointState, UpdateKind
-from arrowseam.config.decode import DecodeError, read_array, read_int, read_number
+from arrowseam.config.decode import DecodeError, read_array, read_int, read_optional_number
 from arrowseam.config.proxy import Config, ConfigError
 from arrowseam.endpoint_list import EndpointIds, EndpointListUpdate
 
@@ -100,25 +100,20 @@
     state = str(row.get("lifecycle"))
     if state not in STATES:
         raise DecodeError(f"list: unknown lifecycle {row.get('lifecycle')!r}")
-    address = row.get("hostPort")
+    address, zone, machine_type = row.get("hostPort"), row.get("zone"), row.get("machineType")
+    cell = read_optional_number(row, "cell")
     return EndpointRecord(
         name=row["instanceId"],
         address=address if isinstance(address, str) else "",
-        zone=_read_text(row, "zone"),
-        machine_type=_read_text(row, "machineType"),
-        cell=read_int(row, "cell") if row.get("cell") is not None else None,
+        zone="" if zone is None else str(zone),
+        machine_type="" if machine_type is None else str(machine_type),
+        cell=None if cell is None else int(cell),
         state=state,
-        weight=read_number(row, "weight") if row.get("weight") is not None else None,
-        started_at_ms=read_number(row, "startedAtMs"),
+        weight=read_optional_number(row, "weight"),
+        started_at_ms=read_optional_number(row, "startedAtMs") or 0.0,
     )
 
 
-def _read_text(row: dict[str, Any], key: str) -> str:
-    """Read a text leniently; empty if the key is missing or null."""
-    value = row.get(key)
-    return "" if value is None else str(value)
-
-
 def read_records(document: Any) -> tuple[bool, int, list[EndpointRecord]]:
     """Decode a list; returns whether it is complete, its version, and its endpoints.
 
