--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,104 +1,92 @@
-"""A cordon that the old process acknowledges during an upgrade is lost: the new one, and the fleet, go on."""
+"""A server that is cordoned gets new work once a watched file names its machine in another way."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import json
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
 
-from rig2 import (
-    BROKEN,
-    HELD,
-    HOST,
-    SETTINGS,
-    TROUBLE,
-    Case,
-    Client,
-    Discovery,
-    Fleet,
-    NotRunError,
-    Server,
-    free_port,
-    main,
-)
+from rig2 import BROKEN, HELD, HOST, SETTINGS, TROUBLE, Case, Client, Discovery, NotRunError, Server, main
 
-BUDGETS = "budgets(proxies = 1, servers = 1, least_ready = 0.3)"
 LIMIT_S = 2.05  # drain_grace of the settings, and 50 ms on sockets
 ALLOWANCE_S = 0.15  # for this process
-CORDON_SPREADS_S = 2.0  # "within a second or two", before the grace begins at the other proxies
 
 
 async def play(case: Case) -> int:
-    """Upgrade one of three proxies, and cordon a server at the old process while it still answers."""
+    """Cordon a server of discovery, then write a file of servers under the names of their hosts."""
     record = case.record
     servers = [Server(record, f"s{n}", ("katy", "humble")[n % 2]) for n in range(4)]
     for server in servers:
         await server.start()
     discovery = Discovery(record, [server.row for server in servers])
     await discovery.start()
-    fleet = Fleet(case, 3, discovery, SETTINGS, BUDGETS)
-    await fleet.start()
-    first, upgraded, _ = fleet.proxies
-    # s0 was taken out before, and called back.
-    for call in ("cordon s0", "uncordon s0"):
-        if not (await first.call(call)).startswith("ACK"):
-            raise NotRunError(f"{call} is not acknowledged")
-        await asyncio.sleep(4)
+    document = {
+        "discovery": f"{HOST}:{discovery.port}",
+        "known": discovery.known(),
+        "settings": SETTINGS,
+    }
+    proxy = case.proxy("n0", document, 'servers(file = "servers.json", name = "changeover")\n')
+    proxy.start()
+    await proxy.until_ready()
     clients: list[Client] = []
-    came_to: dict[str, str] = {}  # the proxy, by the id of the connection
 
     async def crowd(seconds: float) -> None:
         loop, end = asyncio.get_running_loop(), record.now + seconds
         while record.now < end:
-            for proxy in fleet.proxies:
-                client = Client(record, proxy.port)
-                clients.append(client)
-                came_to[client.number] = proxy.name
-                loop.call_later(3, client.leave)
-            await asyncio.sleep(0.1)
+            clients.append(Client(record, proxy.port))
+            loop.call_later(3, clients[-1].leave)
+            await asyncio.sleep(0.05)
 
-    crowding = asyncio.get_running_loop().create_task(crowd(26))
-    await asyncio.sleep(4)
-    control = upgraded.document["control"]
-    if TROUBLE:
-        old = upgraded.process
-        assert old is not None
-        upgraded.document["control"] = f"{HOST}:{free_port()}"
-        upgraded.start()
-        await upgraded.until_ready()
-        record.say(f"{record.now:.1f} s: the new process of {upgraded.name} says yes; SIGTERM to the old one")
-        old.send_signal(signal.SIGTERM)
-    new_control, upgraded.document["control"] = upgraded.document["control"], control
-    answer = (await upgraded.call("cordon s0")).strip()
-    upgraded.document["control"] = new_control
-    if answer != "ACK":
-        raise NotRunError(f"cordon s0: {answer}")
+    await crowd(4)
+    if not servers[0].openings:
+        raise NotRunError("s0 was never used")
+    if not (await proxy.call("cordon s0")).startswith("ACK"):
+        raise NotRunError("the cordon is not acknowledged")
     cordoned_at = record.now
-    record.say(f"{cordoned_at:.1f} s: cordon s0 at {'the old process of ' if TROUBLE else ''}{upgraded.name}: ACK")
-    await asyncio.sleep(12)
+    record.say(f"{cordoned_at:.1f} s: cordon s0: ACK")
+    await crowd(6)
+    written_at = record.now
+    if TROUBLE:
+        rows = [
+            {
+                "instanceId": f"feed{n}.katy.example.org",
+                "hostPort": server.row["hostPort"],
+                "zone": server.row["zone"],
+                "weight": 2.0,
+            }
+            for n, server in enumerate(servers)
+        ]
+        new = proxy.folder / "servers.new"
+        new.write_text(json.dumps({"instances": rows}))
+        new.rename(proxy.folder / "servers.json")
+        record.say(f"{written_at:.1f} s: the file names the same four machines by their hosts")
+    await crowd(6)
+    again_at = record.now
+    answer = (await proxy.call("cordon s0")).strip()
+    record.say(f"{again_at:.1f} s: cordon s0 again: {answer}")
+    await crowd(6)
     stopped_at = record.now
     await servers[0].stop()
     await asyncio.sleep(0.5)
     await servers[0].start()
     cut = [c for c in clients if c.server == "s0" and c.ended_at >= stopped_at and c.end != "moved" and not c.leaving]
-    record.say(f"{stopped_at:.1f} s: s0, out for 12 s, is restarted; {len(cut)} clients are cut off")
-    await crowding
+    record.say(f"{stopped_at:.1f} s: s0 is restarted while it is out; {len(cut)} clients are cut off")
+    await crowd(4)
     await asyncio.sleep(1)
-    late: dict[str, list[float]] = {proxy.name: [] for proxy in fleet.proxies}
-    for at, number in servers[0].openings:
-        limit = LIMIT_S + ALLOWANCE_S
-        if came_to[number] != upgraded.name:
-            limit += CORDON_SPREADS_S
-        if at > cordoned_at + limit:
-            late[came_to[number]].append(at - cordoned_at)
-    for name, times in late.items():
-        span = f", from {times[0]:.1f} to {times[-1]:.1f} s after the ACK" if times else ""
-        record.say(f"{name}: {len(times)} openings to s0 too late{span}")
+    for row in await proxy.rows("members"):
+        record.write(f"members: {row}")
+    got = [at for at, _ in servers[0].openings]
+    late = [at for at in got if at > cordoned_at + LIMIT_S + ALLOWANCE_S]
+    after_second = [at for at in got if at > again_at + LIMIT_S + ALLOWANCE_S]
     record.say(f"openings per server: {[len(server.openings) for server in servers]}")
-    return BROKEN if any(late.values()) else HELD
+    record.say(
+        f"s0: {len(late)} later than {LIMIT_S} s after its cordon, {sum(at < written_at for at in late)} of them "
+        f"before the file; {len(after_second)} later than {LIMIT_S} s after the second cordon"
+    )
+    return BROKEN if late else HELD
 
 
 main(__file__, play)
