--- a/review/10/case.py
+++ b/review/10/case.py
@@ -10,7 +10,21 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
 
-from rig2 import BROKEN, HELD, HOST, SETTINGS, TROUBLE, Case, Discovery, NotRunError, Record, free_port, main
+from rig2 import (
+    BROKEN,
+    HELD,
+    HOST,
+    SETTINGS,
+    TROUBLE,
+    Case,
+    Client,
+    Discovery,
+    NotRunError,
+    Record,
+    Server,
+    free_port,
+    main,
+)
 
 SOCKETS = 256  # the smallest limit that the pages name
 LEAVING, SOUND = 120, 20
@@ -18,21 +32,11 @@
 
 
 class NatsServer:
-    """A stand-in server of the NATS client protocol: INFO, PONG for PING, and it takes what is published."""
+    """The NATS side of a stand-in server: INFO, PONG for PING, and it takes what is published."""
 
     def __init__(self, record: Record, name: str) -> None:
         self.record, self.name, self.port = record, name, free_port()
         self.live: set[asyncio.StreamWriter] = set()
-        self.row = {
-            "instanceId": name,
-            "hostPort": f"{HOST}:{self.port}",
-            "zone": "katy",
-            "machineType": "gen2-std",
-            "cell": 0,
-            "lifecycle": "Ready",
-            "weight": 1.0,
-            "startedAtMs": 0,
-        }
 
     async def start(self) -> None:
         """Listen."""
@@ -79,13 +83,14 @@
 async def play(case: Case) -> int:
     """Clients leave in the middle of a message; then sound ones come."""
     record = case.record
-    servers = [NatsServer(record, f"s{n}") for n in range(4)]
-    for server in servers:
+    servers = [Server(record, f"s{n}") for n in range(4)]  # each speaks both protocols, on two ports
+    nats_sides = [NatsServer(record, server.name) for server in servers]
+    for server in (*servers, *nats_sides):
         await server.start()
     discovery = Discovery(record, [server.row for server in servers])
     await discovery.start()
     port = free_port()
-    addresses = {server.name: server.row["hostPort"] for server in servers}
+    addresses = {side.name: f"{HOST}:{side.port}" for side in nats_sides}
     operator = (
         f"nats(listen = {json.dumps(f'{HOST}:{port}')}, server_port = 4223, servers = {json.dumps(addresses)}, "
         f'default = {{"class": "tech-orders", "tenant": "bluebonnet-ridge"}})\n'
@@ -109,7 +114,7 @@
         raise NotRunError(f"no client was served: {answers[:3]}")
     record.say(f"{record.now:.1f} s: {served} of {LEAVING} clients were served; all have closed their connections")
     await asyncio.sleep(WAIT_S)
-    held = sum(len(server.live) for server in servers)
+    held = sum(len(side.live) for side in nats_sides)
     counters = await proxy.call("counters", quiet=True)
     concurrent = next((line for line in counters.splitlines() if "concurrent" in line), "")
     record.say(f"{record.now:.1f} s: the servers still hold {held} of their connections; {concurrent}")
@@ -117,7 +122,14 @@
     for n in range(SOUND):
         later.append(await visit(record, port, f"s{n}", False))
     refused = [answer for answer in later if answer != "PONG"]
-    record.say(f"{len(refused)} of {SOUND} sound clients that come then are not served: {sorted(set(refused))}")
+    record.say(f"{len(refused)} of {SOUND} sound NATS clients that come then are not served: {sorted(set(refused))}")
+    clients = []
+    for _ in range(SOUND):
+        clients.append(Client(record, proxy.port))
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(2)
+    unserved = [client.answer for client in clients if not client.server]
+    record.say(f"{len(unserved)} of {SOUND} sound clients of the line protocol are not served: {sorted(set(unserved))}")
     return BROKEN if held else HELD
 
 
