--- a/review/rig2/rig2.py
+++ b/review/rig2/rig2.py
@@ -59,20 +59,24 @@
     """The case could not be played; it says nothing about the rule."""
 
 
-_used_ports: set[int] = set()
+# Below the range from which the system takes the ports of outgoing connections: one that is free now stays so until
+# a proxy binds it. Runs side by side begin at different ports.
+FIRST_PORT, PORTS = 10_000, 20_000
+_next_port = os.getpid() * 211
 
 
 def free_port() -> int:
     """A port that is free for TCP and UDP on this address, and was not given before."""
-    for _ in range(200):
-        with socket.socket() as tcp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, contextlib.suppress(OSError):
-                udp.bind((HOST, port))
-                if port not in _used_ports:
-                    _used_ports.add(port)
-                    return port
+    global _next_port
+    for _ in range(PORTS):
+        _next_port += 1
+        port = FIRST_PORT + _next_port % PORTS
+        with contextlib.suppress(OSError), socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            tcp.bind((HOST, port))
+            tcp.listen()
+            udp.bind((HOST, port))
+            return port
     raise NotRunError("no free port")
 
 
