An endpoint that a source withdraws drains while another source still names it

What callers saw: discovery drained a server and then withdrew it.

Cause: all that a source says of an endpoint lay in its record. Gone, or a complete list without the endpoint, removed discovery's record, and with it the statement that the endpoint drains; the file's record, which states no lifecycle, was then the only one. Excluded: the publisher and the balancer (the merged list alone shows it with two reports), and late news of discovery (the case logs when it was told).

What a source has withdrawn drains, under any name of its address, until that source lists it again, discovery newly lists it as ready, the source is no longer configured, or the endpoint is removed altogether. The same for a row that a file drops after Terminating. Handed over at a hot restart, under a key that earlier versions pass over. `members` shows "withdrawn".

Replaced assertions, which asked for the fault: test_the_highest_rank_wins_and_any_source_may_drain_an_endpoint, test_a_file_and_discovery_name_the_same_endpoints and test_a_machine_that_discovery_knows_by_another_name_keeps_its_fields_and_drains wanted an endpoint ready as soon as discovery dropped it. They now want it to drain, and ready once discovery lists it again. The two drawn models follow withdrawals, and ask that nothing drains for any other reason.

--- a/arrowseam/endpoint_sources/merge.py
+++ b/arrowseam/endpoint_sources/merge.py
@@ -6,7 +6,9 @@
 
 * Each field of an endpoint comes from the source of the highest rank that states it; of equal ranks, from the
   one configured first. ``precedence.py`` has the rules for starts and drains.
-* An endpoint stays as long as any source names it. One that no file names any more is kept for ``settle``,
+* An endpoint stays as long as any source names it, but drains if one of them has withdrawn it
+  (``Source.withdraw``), until that source lists it again, the discovery service newly lists it as ready, or
+  it has been removed completely. One that no file names any more is kept for ``settle``,
   since it may be moving from one file to another; then it drains for ``drain`` and until it has no
   connections, then it is removed. An endpoint that only the discovery service named is removed as soon as
   the service drops it.
@@ -47,7 +49,7 @@
 
 
 class ShownEndpoint(NamedTuple):
-    """An endpoint as control shows it; ``state`` is ready, draining, settling or leaving."""
+    """An endpoint as control shows it; ``state`` is ready, draining, withdrawn, settling or leaving."""
 
     record: EndpointRecord
     state: str
@@ -59,6 +61,13 @@
     return False
 
 
+def _is_newly_ready(previous: EndpointRecord | None, record: EndpointRecord) -> bool:
+    """Whether a record says that an endpoint has become ready, or has started again."""
+    if record.state != READY:
+        return False
+    return previous is None or previous.state != READY or record.started_at_ms > previous.started_at_ms
+
+
 class MergedEndpointList:
     """The merged list, and which part of it has been published.
 
@@ -87,6 +96,7 @@
         self._pending: dict[str, None] = {}
         self._timers: list[tuple[int, str]] = []  # heap of due times and endpoints
         self._to_republish: set[str] = set()  # published again even if unchanged
+        self._unpublished: dict[str, str] = {}  # evaluated and not published: names with their address
 
     # --- the sources ---
 
@@ -117,7 +127,11 @@
     def _retire(self) -> None:
         if self.retiring and not self._awaited & (self.sources.keys() - self.retiring):
             for name in self.retiring:
-                self._urgent.update(dict.fromkeys(self.sources.pop(name).records))
+                source = self.sources.pop(name)
+                self._urgent.update(dict.fromkeys(source.records))
+                for withdrawn, address in source.withdrawals:
+                    self._pending.update(self._claims.get(address, {}))
+                    self._pending[withdrawn] = None
                 self._awaited.discard(name)
             self.retiring.clear()
             self._sort_by_rank()
@@ -139,11 +153,13 @@
         """Apply a source's valid report, given as the differences from its last list."""
         source = self.sources[name]
         for removed_name in removed:
-            if source.records.pop(removed_name, None) is not None:
-                self._urgent[removed_name] = None
-        for changed_name, record in changed.items():
+            record = source.records.pop(removed_name, None)
+            if record is not None:
+                self._withdraw(source, record)
+        for record in changed.values():
+            self._lift_withdrawals(source, record)
             if record.state != READY:
-                self._urgent[changed_name] = None
+                self._urgent[record.name] = None
         source.records.update(changed)
         self._pending.update(dict.fromkeys(changed))
         if generation is not None:
@@ -154,6 +170,39 @@
         self._awaited.discard(name)
         self._retire()
 
+    def _withdraw(self, source: Source, record: EndpointRecord) -> None:
+        source.withdraw(record)
+        self._evaluate_machine(record.name, record.address, self._urgent)
+        # The last one added is evaluated first.
+        self._urgent.pop(record.name, None)
+        self._urgent[record.name] = None
+
+    def _evaluate_machine(self, name: str, address: str, queue: dict[str, None]) -> None:
+        """Evaluate all names of a machine that a source knows by this name and address."""
+        queue.update(self._claims.get(address, {}))
+        winner = self._winners.get(name)
+        if winner is not None and winner.record.address != address:
+            queue.update(self._claims.get(winner.record.address, {}))
+
+    def _lift_withdrawals(self, source: Source, record: EndpointRecord) -> None:
+        """Lift the withdrawals that a record of a source ends: its own, and for discovery's news any."""
+        lifted = source.withdrawals.lift((record.name, *self._replaced_names(source, record.address)))
+        # The first list of a process is no news: the previous process may have had it.
+        is_later_list = source.settings.name == DISCOVERY_SOURCE and source.reported_at is not None
+        if is_later_list and _is_newly_ready(source.records.get(record.name), record):
+            for other in self.sources.values():
+                lifted += other.withdrawals.lift((record.name, *other.withdrawals.names_at(record.address)))
+        for name, address in lifted:
+            self._evaluate_machine(name, address, self._pending)
+            if name != record.name:  # which is evaluated anyway, and first
+                self._pending[name] = None
+        if source.withdrawals:  # a record of another name at the address suspends them
+            self._evaluate_machine(record.name, record.address, self._pending)
+
+    def _replaced_names(self, source: Source, address: str) -> Iterable[str]:
+        """Return the withdrawn names of a machine that no source uses any more."""
+        return [name for name in source.withdrawals.names_at(address) if not self.sources_of(name)]
+
     def report_list(
         self,
         name: str,
@@ -193,6 +242,8 @@
             record = self._evaluate(queue.popitem()[0], now)
             if record is not None:
                 changes.append(record)
+        if self._unpublished and not self.has_changes:
+            self._forget_withdrawals()
         return changes
 
     @property
@@ -218,7 +269,8 @@
             self.published[name] = merged
             return merged
         if published is None:
-            self._forget(name)
+            address = self._winners[name].record.address if name in self._winners else ""
+            self._forget(name, address)
             return None
         return self._depart(name, published, now)
 
@@ -232,11 +284,11 @@
             return None
         self._winners[name] = winner
         if not winner.record.address:
-            return winner.record
+            return self._with_withdrawals(winner.record, (name,))
         claims = self._claims.setdefault(winner.record.address, {})
         claims[name] = None
         if len(claims) == 1:
-            return winner.record
+            return self._with_withdrawals(winner.record, (name,))
         claimants = sorted(claims, key=self._claim_priority, reverse=True)
         if claimants[0] != name:
             self._notify_owner(claimants[0], winner, previous)
@@ -245,7 +297,19 @@
         others = [self._winners[claimant] for claimant in claimants[1:]]
         # A source that lists two names at one address means two incarnations, not one machine.
         same_machine = [other.record for other in others if other.source is not winner.source]
-        return merge_records([winner.record, *same_machine])
+        return self._with_withdrawals(merge_records([winner.record, *same_machine]), claimants)
+
+    def _with_withdrawals(self, merged: EndpointRecord, names: Sequence[str]) -> EndpointRecord:
+        """Return the record of a machine with these names as draining if a source has withdrawn it."""
+        if merged.state == READY and self._is_withdrawn(names, merged.address):
+            return merged._replace(state=DRAINING)
+        return merged
+
+    def _names_of_machine(self, record: EndpointRecord) -> Sequence[str]:
+        return [record.name, *self._claims.get(record.address, ())]
+
+    def _is_withdrawn(self, names: Sequence[str], address: str) -> bool:
+        return any(source.has_withdrawn(names, address) for source in self._ranked if source.withdrawals)
 
     def _find_winner(self, name: str) -> Winner | None:
         naming = [source for source in self._ranked if name in source.records]
@@ -297,7 +361,9 @@
             settings = winner.source.settings if winner is not None else SourceSettings(DISCOVERY_SOURCE)
             if not settings.drain:
                 return self._remove(name, published)
-            departure = self.departures[name] = Departure(now + settings.settle, settings.drain)
+            # One that was withdrawn does not move from one file to another.
+            settle = 0 if self._is_withdrawn((name,), published.address) else settings.settle
+            departure = self.departures[name] = Departure(now + settle, settings.drain)
         if not departure.removed_at:
             return self._drain(name, published, departure, now)
         if now < departure.removed_at:
@@ -323,16 +389,30 @@
         self.published_since[name] = now
         return self.published[name]
 
-    def _forget(self, name: str) -> None:
+    def _forget(self, name: str, address: str) -> None:
         """Forget its winner, unless a source still names it and it has only lost its address."""
         if not self.sources_of(name):
             self._winners.pop(name, None)
+        self._unpublished[name] = address
+
+    def _forget_withdrawals(self) -> None:
+        """Forget withdrawals of machines that no other source names and that are not published any more."""
+        departing = {self.published[name].address for name in self.departures if name in self.published}
+        for source in self._ranked:
+            for name, address in self._unpublished.items():
+                for withdrawn in (name, *source.withdrawals.names_at(address)):
+                    address_used = source.withdrawals.address_of(withdrawn)
+                    if address_used in departing or address_used in self._claims:
+                        continue
+                    if withdrawn not in self.published and not self.sources_of(withdrawn):
+                        source.withdrawals.discard(withdrawn)
+        self._unpublished.clear()
 
     def _remove(self, name: str, published: EndpointRecord) -> EndpointRecord:
         self.departures.pop(name, None)
-        self._forget(name)
         self.published_since.pop(name, None)
         del self.published[name]
+        self._forget(name, published.address)
         return published._replace(state=REMOVED)
 
     # --- control and hot restart ---
@@ -346,13 +426,15 @@
         record = self.published[endpoint]
         departure = self.departures.get(endpoint)
         state = "ready" if record.state == READY else "draining"
+        if record.state != READY and self._is_withdrawn(self._names_of_machine(record), record.address):
+            state = "withdrawn"
         if departure is not None:
             state = "leaving" if departure.removed_at else "settling"
         return ShownEndpoint(record, state, self.sources_of(endpoint), self.published_since[endpoint])
 
     def export_state(self, now: int) -> dict[str, Any]:
         """Return the state that the next process takes over at a hot restart; times are relative to now."""
-        return {
+        state: dict[str, Any] = {
             "sources": {
                 name: {
                     "members": [list(record.to_transfer()) for record in source.records.values()],
@@ -368,6 +450,12 @@
                 if departure.removed_at and name in self.published
             ],
         }
+        withdrawn = {
+            name: list(source.withdrawals) for name, source in self.sources.items() if source.withdrawals
+        }
+        if withdrawn:  # a key that earlier versions do not have, and pass over
+            state["withdrawn"] = withdrawn
+        return state
 
     def import_state(self, state: dict[str, Any], now: int) -> None:
         """Take over the state of the previous process; raises KeyError, TypeError or ValueError."""
@@ -376,6 +464,9 @@
                 records = [EndpointRecord.from_transfer(row) for row in exported["members"]]
                 generation, taken_at_ms = exported["generation"], int(exported["good_ms"])
                 self.report_list(name, records, now, generation, taken_at_ms, Origin.HANDOVER)
+        for name, withdrawn in state.get("withdrawn", {}).items():  # an earlier version has none
+            if name in self.sources:
+                self._import_withdrawals(self.sources[name], withdrawn)
         for row, drain in state["leaving"]:
             record = EndpointRecord.from_transfer(row)
             if record.name not in self.published:
@@ -383,3 +474,9 @@
                 self.published_since[record.name] = now
                 self.departures[record.name] = Departure(now, int(drain))
                 self._urgent[record.name] = None
+
+    def _import_withdrawals(self, source: Source, withdrawn: Iterable[Sequence[str]]) -> None:
+        for name, address in withdrawn:
+            if name not in source.records:
+                source.withdrawals.add(str(name), str(address))
+                self._pending[str(name)] = None
--- a/tests/test_endpoint_source_rules.py
+++ b/tests/test_endpoint_source_rules.py
@@ -234,10 +234,123 @@
     merged.report_list(DISCOVERY_SOURCE, [create_record("a", 1.0, DRAINING)], 1)
     assert [(record.weight, record.state) for record in merged.take_changes(1)] == [(7.0, DRAINING)]
     merged.report_list(DISCOVERY_SOURCE, [], 2)  # the file still names it
-    assert states(merged.take_changes(2)) == {"a": READY}
-    merged.report_list("f", [], 3)
+    assert not merged.take_changes(2)  # it goes on draining
+    assert merged.published["a"].state == DRAINING
+    merged.report_list(DISCOVERY_SOURCE, [create_record("a", 1.0)], 3)
+    assert [(record.weight, record.state) for record in merged.take_changes(3)] == [(7.0, READY)]
+    merged.report_list("f", [], 4)
+    assert [record.weight for record in merged.take_changes(4)] == [1.0]
+
+
+def test_an_endpoint_that_discovery_withdraws_drains_while_a_file_names_it():
+    """Callers were sent to a server that discovery had withdrawn, since a file still named it: the removal of
+    discovery's record took back that it drains.
+    """
+    merged = create_list()
+    merged.report_list(DISCOVERY_SOURCE, [create_record("a"), create_record("b")], 0)
+    merged.report_list("f", [create_record("a", 2.0), create_record("b", 2.0)], 0)
+    merged.take_changes(0)
+    merged.report_change(DISCOVERY_SOURCE, {}, ["a"], 1)
+    assert states(merged.take_changes(1)) == {"a": DRAINING}
+    merged.report_list("f", [create_record("a", 5.0), create_record("b", 5.0)], 2)  # no news of discovery's
+    merged.report_list("g", [create_record("a", 5.0)], 2)
+    assert states(merged.take_changes(2)) == {"a": DRAINING, "b": READY}
+    merged.report_change(DISCOVERY_SOURCE, {"a": create_record("a", state=DRAINING)}, [], 3)
     assert not merged.take_changes(3)
-    assert merged.next_change_at() == 3 + FILE.settle
+    merged.report_change(DISCOVERY_SOURCE, {"a": create_record("a")}, [], 4)
+    assert states(merged.take_changes(4)) == {"a": READY}
+    assert not merged.sources[DISCOVERY_SOURCE].withdrawals
+    merged.report_list(DISCOVERY_SOURCE, [create_record("b")], 5)  # left out of a complete list
+    assert states(merged.take_changes(5)) == {"a": DRAINING}
+
+
+def test_an_endpoint_that_a_file_drained_and_dropped_drains_on():
+    """The same between any two sources: what drained a moment ago was opened again as its row was removed."""
+    merged = create_list()
+    merged.report_list(DISCOVERY_SOURCE, [create_record("a"), create_record("b")], 0)
+    merged.report_list("f", [create_record("a", 2.0, DRAINING), create_record("b", 2.0)], 0)
+    merged.take_changes(0)
+    merged.report_list("f", [], 1)
+    assert [(r.name, r.state, r.weight) for r in merged.take_changes(1, 1)] == [("b", READY, 1.0)]
+    assert [(r.name, r.state, r.weight) for r in merged.take_changes(1, 1)] == [("a", DRAINING, 1.0)]
+    merged.report_change(DISCOVERY_SOURCE, {"a": create_record("a", 3.0)}, [], 2)  # another weight, no news
+    assert states(merged.take_changes(2)) == {"a": DRAINING}
+    restarted = create_record("a", 3.0)._replace(started_at_ms=1e12)
+    merged.report_change(DISCOVERY_SOURCE, {"a": restarted}, [], 3)
+    assert states(merged.take_changes(3)) == {"a": READY}
+
+
+def test_a_withdrawn_endpoint_is_forgotten_once_no_source_names_it():
+    """Withdrawals must not pile up, and what a file names after the end of the drain is a new endpoint."""
+    merged = create_list()
+    merged.report_list(DISCOVERY_SOURCE, [create_record("a"), create_record("b")], 0)
+    merged.report_list("f", [create_record("a")], 0)
+    merged.take_changes(0)
+    merged.report_list(DISCOVERY_SOURCE, [], 1)
+    assert states(merged.take_changes(1)) == {"a": DRAINING, "b": REMOVED}
+    assert list(merged.sources[DISCOVERY_SOURCE].withdrawals) == [("a", create_record("a").address)]
+    merged.report_list("f", [], 2)
+    assert not merged.take_changes(2)
+    assert merged.show("a").state == "leaving"  # at once: a withdrawn endpoint does not settle
+    merged.report_list("f", [create_record("a")], 3)
+    assert not merged.take_changes(3)  # it was there all the time
+    merged.report_list("f", [], 4)
+    merged.take_changes(4)
+    assert states(merged.take_changes(4 + FILE.drain)) == {"a": REMOVED}
+    assert not merged.sources[DISCOVERY_SOURCE].withdrawals
+    merged.report_list("f", [create_record("a")], 5 + FILE.drain)
+    assert states(merged.take_changes(5 + FILE.drain)) == {"a": READY}
+
+
+def test_a_withdrawal_ends_with_its_source():
+    """Discovery is taken out of the configuration: from then on the files alone say what there is."""
+    merged = create_list()
+    merged.report_list(DISCOVERY_SOURCE, [create_record("a"), create_record("b")], 0)
+    merged.report_list("f", [create_record("a")], 0)
+    merged.report_list("g", [create_record("x", address=create_record("b").address)], 0)
+    merged.take_changes(0)
+    merged.report_list(DISCOVERY_SOURCE, [], 1)
+    assert states(merged.take_changes(1)) == {"a": DRAINING, "x": DRAINING}
+    merged.configure([FILE, OTHER])
+    assert states(merged.take_changes(2)) == {"a": READY, "x": READY}
+
+
+def test_a_replacement_at_the_address_of_a_withdrawn_endpoint_is_used():
+    """Discovery lists the machine again, under a new id. The file still has the old one."""
+    merged = create_list()
+    old, new = (create_record(name, address="10.0.0.1:1") for name in ("old", "new"))
+    merged.report_list(DISCOVERY_SOURCE, [old], 0)
+    merged.report_list("f", [old], 0)
+    merged.take_changes(0)
+    merged.report_change(DISCOVERY_SOURCE, {}, ["old"], 1)
+    assert states(merged.take_changes(1)) == {"old": DRAINING}
+    merged.report_change(DISCOVERY_SOURCE, {"new": new}, [], 2)
+    merged.take_changes(2)
+    assert states(list(merged.published.values())) == {"old": READY}
+    merged.report_change(DISCOVERY_SOURCE, {}, ["new"], 3)
+    merged.take_changes(3)
+    assert states(list(merged.published.values())) == {"old": DRAINING}
+
+
+def test_a_withdrawal_outlives_a_hot_restart():
+    """The new process gets the file's list, and a list of discovery in which the endpoint is not named."""
+    merged = create_list()
+    merged.report_list(DISCOVERY_SOURCE, [create_record("a"), create_record("b"), create_record("c")], 0)
+    merged.report_list("f", [create_record("a"), create_record("b"), create_record("c", state=DRAINING)], 0)
+    merged.take_changes(0)
+    merged.report_change(DISCOVERY_SOURCE, {}, ["a"], 1)
+    merged.report_list("f", [create_record("a"), create_record("b")], 1)
+    merged.take_changes(1)
+    successor = create_list()
+    successor.import_state(json.loads(json.dumps(merged.export_state(2))), 1000)
+    for now in (1000, 1001):  # the list that was handed over, then discovery's answer
+        successor.report_list(DISCOVERY_SOURCE, [create_record("b"), create_record("c")], now)
+        successor.take_changes(now)
+        assert states(list(successor.published.values())) == {"a": DRAINING, "b": READY, "c": DRAINING}
+    successor.report_change(DISCOVERY_SOURCE, {"a": create_record("a")}, [], 1002)
+    assert states(successor.take_changes(1002)) == {"a": READY}
+    earlier = {key: value for key, value in merged.export_state(2).items() if key != "withdrawn"}
+    create_list().import_state(earlier, 1000)  # from an earlier version
 
 
 STATED = {"zone": "katy", "machineType": "gen2-std", "cell": 3, "weight": 2.5, "startedAtMs": 1e12}
@@ -314,6 +427,28 @@
 )
 
 
+def follow_withdrawals(
+    withdrawn: set[tuple[str, str]],
+    lists: dict[str, dict[str, dict[str, Any]]],
+    source: str,
+    rows: dict[str, dict[str, Any]],
+    has_reported: bool,
+) -> None:
+    """Bring a model of what the sources have withdrawn, by source and endpoint, to the next report."""
+    for name in lists[source].keys() - rows.keys():
+        if source == DISCOVERY_SOURCE or lists[source][name].get("lifecycle") == DRAINING:
+            withdrawn.add((source, name))
+        if source == DISCOVERY_SOURCE and not any(name in lists[other] for other in "fg"):
+            withdrawn -= {(other, name) for other in lists}  # removed at once, and forgotten
+    for name, fields in rows.items():
+        withdrawn.discard((source, name))
+        before = lists[source].get(name, {"lifecycle": DRAINING})
+        is_started = fields.get("startedAtMs", 0) > before.get("startedAtMs", 0)
+        is_news = is_started or before.get("lifecycle", READY) == DRAINING
+        if source == DISCOVERY_SOURCE and fields.get("lifecycle", READY) == READY:
+            withdrawn -= {(other, name) for other in lists if has_reported and is_news}
+
+
 @given(
     st.lists(
         st.tuples(
@@ -326,7 +461,10 @@
     """Against a plain model, for any lists in any order: no default may override a statement."""
     merged = create_list()
     lists: dict[str, dict[str, dict[str, Any]]] = {"f": {}, "g": {}, DISCOVERY_SOURCE: {}}
+    withdrawn: set[tuple[str, str]] = set()  # by source and endpoint
     for now, (source, rows) in enumerate(reports):
+        has_reported = merged.sources[DISCOVERY_SOURCE].reported_at is not None
+        follow_withdrawals(withdrawn, lists, source, rows, has_reported)
         lists[source] = rows
         documents = [row(name, 5000 + ord(name), **fields) for name, fields in rows.items()]
         if source == DISCOVERY_SOURCE:
@@ -343,7 +481,9 @@
         for field, default in (("machineType", ""), ("cell", None), ("weight", 1.0)):
             assert shown[field] == next((fields[field] for fields in stated if field in fields), default)
         assert shown["startedAtMs"] == max(fields.get("startedAtMs", 0) for fields in stated)
-        assert (shown["lifecycle"] == READY) == all(f.get("lifecycle", READY) == READY for f in stated)
+        is_withdrawn = any((source, name) in withdrawn for source in lists)
+        is_ready = not is_withdrawn and all(f.get("lifecycle", READY) == READY for f in stated)
+        assert (shown["lifecycle"] == READY) == is_ready
 
 
 def test_a_removed_endpoint_settles_drains_and_is_gone():
@@ -418,7 +558,9 @@
     (published,) = merged.take_changes(3)
     assert (published.state, published.started_at_ms) == (READY, 2e12)
     merged.report_change(DISCOVERY_SOURCE, {}, ["a"], 4)
-    assert merged.take_changes(4) == [by_host_name]
+    assert merged.take_changes(4) == [by_host_name._replace(state=DRAINING)]  # it is withdrawn
+    merged.report_change(DISCOVERY_SOURCE, {"a": create_discovery_record()}, [], 5)
+    assert [record.state for record in merged.take_changes(5)] == [READY]
 
 
 def test_a_retired_source_stays_until_the_new_one_has_reported():
@@ -487,13 +629,78 @@
 )
 
 
+class WithdrawalModel:
+    """Which endpoints the sources have withdrawn, worked out anew from their lists.
+
+    When a withdrawal is forgotten depends on time and batches. The model therefore keeps all, and knows of
+    which the list must not have forgotten: those of names and machines that were named all the time.
+    """
+
+    def __init__(self, lists: dict[str, dict[str, EndpointRecord]]) -> None:
+        self.lists = lists
+        self.reported: set[str] = set()
+        # By source and name: the address, and the names that have been at that address ever since.
+        self.withdrawn: dict[tuple[str, str], tuple[str, set[str]]] = {}
+        self.named_since: set[tuple[str, str]] = set()  # withdrawals whose own name was named ever since
+
+    def addresses(self) -> dict[str, str]:
+        order = ("f", "g", DISCOVERY_SOURCE)
+        return {name: row.address for s in reversed(order) for name, row in self.lists[s].items()}
+
+    def report(self, source: str, rows: dict[str, EndpointRecord]) -> None:
+        before, self.lists[source] = self.lists[source], rows
+        addresses = self.addresses()
+        for name, old in before.items():
+            if name not in rows and (source == DISCOVERY_SOURCE or old.state == DRAINING):
+                aliases = {other for other, address in addresses.items() if address == old.address}
+                self.withdrawn[source, name] = old.address, aliases
+                self.named_since.add((source, name))
+        for name, row in rows.items():
+            old = before.get(name)
+            if old != row:
+                at_address = {
+                    other
+                    for s, other in self.withdrawn
+                    if s == source and self.withdrawn[s, other][0] == row.address
+                }
+                self.lift({source}, {name} | (at_address - addresses.keys()))
+                is_news = row.state == READY and (old is None or old.state != READY)
+                if source == DISCOVERY_SOURCE and source in self.reported and is_news:
+                    self.lift(set(self.lists), {name}, row.address)
+        self.reported.add(source)
+        for key, (address, aliases) in self.withdrawn.items():
+            aliases -= {alias for alias in aliases if addresses.get(alias) != address}
+            if key[1] not in addresses:
+                self.named_since.discard(key)
+
+    def lift(self, sources: set[str], names: set[str], address: str = "") -> None:
+        for source, name in list(self.withdrawn):
+            is_same = name in names or self.withdrawn[source, name][0] == address
+            if source in sources and is_same:
+                del self.withdrawn[source, name]
+
+    def has_withdrawn(self, name: str, must_be_remembered: bool = False) -> bool:
+        """Whether a source has withdrawn the machine of this name, and names it no longer."""
+        addresses = self.addresses()
+        names = {other for other, address in addresses.items() if address == addresses[name]}
+        return any(
+            names.isdisjoint(self.lists[source])
+            and (
+                (withdrawn in names and (not must_be_remembered or (source, withdrawn) in self.named_since))
+                or (address == addresses[name] and (not must_be_remembered or name in aliases))
+            )
+            for (source, withdrawn), (address, aliases) in self.withdrawn.items()
+        )
+
+
 @given(STEPS)
 def test_the_merged_list_converges_to_what_the_sources_name(steps):
     """Changes are taken in batches of any size. In the end no address may be published twice, no endpoint be
-    ready that a source drains, and none be missing.
+    ready that a source drains or has withdrawn, none drain for any other reason, and none be missing.
     """
     merged, now, published = create_list(), 0, {}
     lists: dict[str, dict[str, EndpointRecord]] = {DISCOVERY_SOURCE: {}, "f": {}, "g": {}}
+    model = WithdrawalModel(lists)
 
     def apply(changes: list[EndpointRecord]) -> None:
         for record in changes:
@@ -507,10 +714,13 @@
         assert published == merged.published
 
     for source, rows, delay, limit in steps:
-        lists[source] = {
-            name: create_record(name, weight, state, f"10.0.0.1:{port}")
-            for name, (weight, state, port) in rows.items()
-        }
+        model.report(
+            source,
+            {
+                name: create_record(name, weight, state, f"10.0.0.1:{port}")
+                for name, (weight, state, port) in rows.items()
+            },
+        )
         merged.report_list(source, lists[source].values(), now)
         apply(merged.take_changes(now, limit))
         now += delay
@@ -536,7 +746,11 @@
             if ranked[other][0].address == first.address and naming[other][0] != naming[name][0]
         }
         assert published[name].weight == first.weight
-        assert (published[name].state == READY) == drains.isdisjoint({name} | others)
+        if published[name].state == READY:
+            assert drains.isdisjoint({name} | others)
+            assert not model.has_withdrawn(name, must_be_remembered=True)
+        else:
+            assert not drains.isdisjoint({name} | others) or model.has_withdrawn(name)
     addresses = {records[0].address for records in ranked.values()}
     assert {record.address for record in published.values()} == addresses  # each machine is published once
     assert not merged.departures
--- a/tests/test_watched_files.py
+++ b/tests/test_watched_files.py
@@ -207,7 +207,9 @@
 
 
 def test_a_file_and_discovery_name_the_same_endpoints(create_folder):
-    """The file's row wins, either source may drain an endpoint, and either alone keeps it in the list."""
+    """The file's row wins, either source may drain an endpoint, and either alone keeps it in the list: one
+    that discovery has withdrawn drains there, until discovery lists it as ready again.
+    """
     folder = create_folder()
     w = folder.create_world()
     w.update_list(s0={}, s1={"weight": 5.0})
@@ -220,6 +222,13 @@
     w.update_list(s0={"lifecycle": "Terminating"})
     w.until(lambda: ready_names(w) == {"s1", "s2"})
     w.update_list(s0={"lifecycle": "Gone"}, s1={"lifecycle": "Gone"})
+    w.until(lambda: "s1" not in published)
+    assert ready_names(w) == {"s2"}
+    assert published["s0"].state == "Terminating"
+    assert [
+        row["state"] for row in w.proxy.endpoint_sources.endpoint_rows() if row["instanceId"] == "s0"
+    ] == ["withdrawn"]
+    w.update_list(s0={"weight": 9.0})
     w.until(lambda: ready_names(w) == {"s0", "s2"})
     assert w.control(b"cordon s0\n") == b"ACK\n"
     folder.replace_accepted(w, folder.encode_list(w, 0, 2, weight=4.0))
@@ -229,6 +238,37 @@
     assert len(w.servers[2].live) == len(clients)
 
 
+@pytest.mark.parametrize("by_other_name", [False, True], ids=["same-name", "other-name"])
+def test_clients_are_not_placed_on_a_server_that_discovery_has_withdrawn(create_folder, by_other_name):
+    """Discovery drained a server and withdrew it. A file still named it, and callers were placed there again
+    until it stopped under them. Rewritten files must not bring it back, and discovery must.
+    """
+    folder = create_folder()
+    w = folder.create_world()
+    w.update_list(s0={}, s1={})
+    rows = json.loads(folder.encode_list(w, 0, 1, weight=3.0))
+    if by_other_name:
+        rows["instances"][0]["instanceId"] = "feed.katy.example.org"
+        if w.proxy.nats_server is not None:
+            overrides = w.proxy.nats_server.nats_config.overrides
+            overrides["feed.katy.example.org"] = overrides["s0"]
+    folder.replace_accepted(w, json.dumps(rows).encode())
+    w.until(lambda: len(ready_names(w)) == 2)
+    for lifecycle in ("Terminating", "Gone"):
+        w.update_list(s0={"lifecycle": lifecycle}, s1={})
+        w.until(lambda: len(ready_names(w)) == 1)
+        w.run(0.3)
+    before = len(w.servers[0].received)
+    w.up(6)
+    rows["instances"][0]["weight"] = 5.0
+    folder.replace_accepted(w, json.dumps(rows).encode())
+    w.up(6)
+    assert len(w.servers[0].received) == before
+    w.update_list(s0={}, s1={})
+    w.until(lambda: len(ready_names(w)) == 2)
+    w.until(lambda: w.up(1) and len(w.servers[0].received) > before)
+
+
 def test_keyed_requests_stay_in_the_cell_that_discovery_tells_beside_a_file(create_folder):
     """Connections are reset under keyed requests, and a file names the endpoints without their cells. Callers
     saw requests run twice: retries went to another cell, which does not know their keys.
