An id that may have run does not run again, nor at the other process of an upgrade

What callers saw: an id whose client had left came again, by itself or at the new process of an upgrade, and ran a second time.

Cause: only ids of open connections were remembered; a hot restart handed over these alone, and the old process told the new one that an id is free again once its connection had ended, whether it had run or not.

Change: an id whose opening was completely sent to a server, and whose client was not answered BUSY, is kept after its connection: the last 8,192 to 16,384, without a clock. It is answered ERR. Both kinds are handed over, and one that may have run is never told free; versions before read it as an id in use.

Replaced assertion: test_a_connection_id_in_use_is_refused_without_harm_to_the_first_connection wanted the id served once its connection had ended, which is this fault. It now wants it refused.

--- a/arrowseam/hot_restart/messages.py
+++ b/arrowseam/hot_restart/messages.py
@@ -45,7 +45,10 @@
 
 
 class ConnectionIdChange(NamedTuple):
-    """In both directions: the id of a client's connection has come into use, or is free again."""
+    """In both directions: the id of a client's connection has come into use, or is free again.
+
+    One that may have run is never free again.
+    """
 
     connection_id: str
     in_use: bool
@@ -122,7 +125,7 @@
         cordoned: endpoints that operators have cordoned.
         uncordoned_at: recently uncordoned endpoints, and when (microseconds, monotonic clock).
         endpoint_sources: the exported state of the endpoint sources; None without an operator file.
-        connection_ids: ids of clients' connections in use.
+        connection_ids: ids of clients' connections in use, or that may have run.
         listener_names: names of the listening sockets that are sent along, in the same order.
         descriptor_count: number of descriptors that the old process has open.
     """
--- a/arrowseam/protocols/edge/server.py
+++ b/arrowseam/protocols/edge/server.py
@@ -17,6 +17,7 @@
 from arrowseam.net.task import Coroutine
 from arrowseam.protocols.edge import messages
 from arrowseam.protocols.edge.session import EdgeSession
+from arrowseam.protocols.edge.used_ids import UsedIds
 from arrowseam.protocols.session import ClientSession, RequestService, send_and_close
 
 CLIENT_BYTES_MAX = 16384  # buffered per client once its opening is read
@@ -35,13 +36,15 @@
 
     Attributes:
         connection_ids: ids of the connections served here; no two may have the same id.
-        other_process_ids: the same of the other process of this proxy, during a hot restart.
-        on_id_change: called with an id and whether it is in use, when that changes here.
+        used_ids: ids of connections that have ended and may have run; none of them may run again.
+        other_process_ids: both of the other process of this proxy, during a hot restart.
+        on_id_change: called with an id that is in use from now on, or is free again: it has never run.
     """
 
     def __init__(self, loop: EventLoop, config: Config, requests: RequestService) -> None:
         self.loop, self.config, self.requests = loop, config, requests
         self.connection_ids: set[str] = set()
+        self.used_ids = UsedIds()
         self.other_process_ids: set[str] = set()
         self.on_id_change: Callable[[str, bool], None] = _ignore_id_change
 
@@ -89,6 +92,8 @@
         request = messages.create_request(opening, self.config, clock())
         if opening.connection_id in self.connection_ids or opening.connection_id in self.other_process_ids:
             raise messages.OpeningError("the id is in use by another connection")
+        if opening.connection_id in self.used_ids:
+            raise messages.OpeningError("the id was used by an earlier connection")
         if len(conn.received):
             raise messages.OpeningError("data after the opening, before its answer")
         return opening, request
@@ -113,7 +118,19 @@
             yield from serve(request, session)
         finally:
             self.connection_ids.discard(request.name)
-            self.on_id_change(request.name, False)
+            if session.may_have_run:
+                self.used_ids.add(request.name)  # for the other process it stays in use
+            else:
+                self.on_id_change(request.name, False)
+
+    def ids_not_to_run(self) -> tuple[str, ...]:
+        """The ids that another process of this proxy must not let run."""
+        return tuple(sorted({*self.connection_ids, *self.used_ids, *self.other_process_ids}))
+
+    def on_other_process_ended(self) -> None:
+        """Keep the ids of the other process as used: its connections have ended with it."""
+        self.used_ids.update(self.other_process_ids)
+        self.other_process_ids.clear()
 
     def note_other_process_id(self, connection_id: str, in_use: bool) -> None:
         """Record that an id is in use at the other process of this proxy, or no longer is."""
--- a/arrowseam/protocols/edge/session.py
+++ b/arrowseam/protocols/edge/session.py
@@ -56,7 +56,9 @@
 class EdgeSession(ClientSession):
     """One client of the line protocol.
 
-    ``opening`` is None for a connection that was handed over: it is established already.
+    Attributes:
+        opening: None for a connection that was handed over: it is established already.
+        may_have_run: the opening was completely sent to an endpoint, and the client was not rejected.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
     ) -> None:
         super().__init__(loop, conn, connect_timeout)
         self.opening = opening
+        self.may_have_run = opening is None
         self.framer = EndpointLineFramer()
 
     @classmethod
@@ -91,6 +94,7 @@
         wait_ms = max(1, (deadline - clock()) // MS)
         if not (yield from endpoint.send(self.opening.forwarded_line(wait_ms), deadline)):
             return AttemptOutcome.UNREACHABLE  # not completely sent, so it has never run
+        self.may_have_run = True
         self.on_opening_sent()
         while True:
             endpoint.read()
@@ -147,6 +151,7 @@
 
     def send_rejection(self, retry_after_ms: int) -> Coroutine[None]:
         """Final answer: rejected."""
+        self.may_have_run = False  # the answer promises that
         yield from self.send_final_answer(messages.rejection_line(retry_after_ms))
 
     def send_failure(self) -> Coroutine[None]:
--- a/arrowseam/proxy/hot_restart.py
+++ b/arrowseam/proxy/hot_restart.py
@@ -83,7 +83,7 @@
             cordoned=tuple(self._cordoned_by_operators()),
             uncordoned_at=proxy.driver.uncordoned_at,
             endpoint_sources=sources.export_state() if sources is not None else None,
-            connection_ids=tuple(sorted(proxy.edge_server.connection_ids)),
+            connection_ids=proxy.edge_server.ids_not_to_run(),
         )
 
     def on_cordon_change(self, endpoint: str, cordoned: bool, uncordoned_at: int = 0) -> None:
@@ -96,7 +96,7 @@
 
     def on_other_process_ended(self) -> None:
         """The other process has ended: none of its connection ids is in use any more."""
-        self.proxy.edge_server.other_process_ids.clear()
+        self.proxy.edge_server.on_other_process_ended()
 
     def hand_over_and_drain(self) -> None:
         """Hand over the established connections and drain, as the new process is serving."""
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -19,6 +19,7 @@
 from network import ProxyNetwork, create_networks
 
 from arrowseam.protocols.edge.messages import LINE_BYTES_MAX, parse_opening
+from arrowseam.protocols.edge.used_ids import GENERATION_SIZE, UsedIds
 
 SCRIPT = Path(__file__).parent.parent / "benchmarks" / "misbehaving_clients.py"
 LATENCY_OBJECTIVE_S = 0.3  # of the class that the sound clients ask for
@@ -87,3 +88,72 @@
     with SCENES.stage() as stage, socket.create_connection((SCENES.HOST, stage.ports.nats), 5) as sock:
         sock.sendall(SCENES.greet_nats_nested(0))
         assert b"-ERR 'Parser Error'" in b"".join(iter(lambda: sock.recv(4096), b""))
+
+
+# --- ids that come again --------------------------------------------------------------------------------
+
+
+def test_an_id_that_may_have_run_does_not_run_again_after_its_client_has_left(line_world):
+    """An id was free as soon as its connection had ended, and ran a second time when it came again."""
+    w = line_world("up")
+    first = w.client(7)
+    w.until(lambda: first.has("up"))
+    first.conn.close()
+    w.until(lambda: not w.handler.active)
+    again = w.client(7)
+    w.until(lambda: again.ended_at)
+    assert again.has("failed")
+    assert len(w.servers[0].received) == 1
+
+
+def test_an_id_that_was_rejected_may_come_again(line_world):
+    """BUSY promises that nothing has run, and that trying again is harmless."""
+    w = line_world("busy")
+    first = w.client(7)
+    w.until(lambda: first.ended_at)
+    assert first.has("rejected")
+    w.servers[0].mode = "up"
+    again = w.client(7)
+    w.until(lambda: again.answers)
+    assert again.has("up")
+
+
+def test_used_ids_are_bounded_and_the_last_ones_are_kept():
+    ids = UsedIds()
+    ids.update(f"{n:x}" for n in range(5 * GENERATION_SIZE + 3))
+    last = [f"{n:x}" for n in range(4 * GENERATION_SIZE + 3, 5 * GENERATION_SIZE + 3)]
+    assert all(name in ids for name in last)
+    assert len(list(ids)) <= 2 * GENERATION_SIZE
+    assert "0" not in ids
+
+
+def test_an_id_does_not_run_again_at_the_other_process_of_an_upgrade():
+    """Ids that had ended at the old process were free at the new one: 40 of 40 ran a second time there, and
+    after the old process's end as well.
+    """
+    with SCENES.stage() as stage:
+
+        def open_all(first: int) -> list[bytes]:
+            answers = []
+            for number in range(first, first + 20):
+                with socket.create_connection((SCENES.HOST, stage.ports.lines), 5) as sock:
+                    sock.sendall(SCENES.opening(number))
+                    answers.append(sock.recv(100).split()[0])
+            return answers
+
+        assert set(open_all(0x100)) == {b"UP"}
+        held = [socket.create_connection((SCENES.HOST, stage.ports.lines), 5) for _ in range(20)]
+        for number, sock in enumerate(held):
+            sock.sendall(SCENES.opening(0x200 + number))
+            assert sock.recv(100).startswith(b"UP")
+        old = stage.proxies[-1]
+        stage.start_proxy()
+        for sock in held:
+            sock.close()
+        assert set(open_all(0x100) + open_all(0x200)) == {b"ERR"}
+        old.wait(10)
+        assert set(open_all(0x100) + open_all(0x200)) == {b"ERR"}
+        assert set(open_all(0x300)) == {b"UP"}
+        assert set(stage.runs().values()) == {1}
+        stage.start_proxy()
+        assert set(open_all(0x100) + open_all(0x200) + open_all(0x300)) == {b"ERR"}
--- a/tests/test_protocols.py
+++ b/tests/test_protocols.py
@@ -205,8 +205,10 @@
     w.until(lambda: b"still here" in first.got)
     first.conn.close()
     w.until(lambda: not w.handler.active)
-    third = w.client(7)
-    w.until(lambda: third.has("up"))
+    third = w.client(7)  # it has run, so it must not run again
+    w.until(lambda: third.ended_at)
+    assert bytes(third.got) == b"ERR\r\n"
+    assert len(w.servers[0].received) == 1
 
 
 def test_an_overlong_opening_is_failed(world):
