A connection's turn ends after a number of messages, not of full buffers

What callers saw: while one NATS client sent PING, or PUB of ever new subjects, at full speed, sound clients were answered late or never on both fronts, and all servers counted as failing, since the proxy was late for their answers.

Cause: a turn ended after 16 full buffers a side. 16 KB hold some 2,700 small operations, each parsed by itself: up to half a second in which neither another connection nor a timer ran. Excluded by plays of one flooding client at a time: empty lines, unsound openings under ever new names, PING lines, heads at /healthz, callers of the agent check.

Change: a NATS framer releases 64 operations a call, and the turn ends there; the connection is woken for the next round. Lines of an endpoint are searched for load reports in one pass. PINGs that the endpoint does not answer are bounded (each was remembered without end).

--- a/arrowseam/net/forwarding.py
+++ b/arrowseam/net/forwarding.py
@@ -32,10 +32,12 @@
         inside_message: the released bytes end inside a message.
         reply_due_after: how many bytes at the front end with the last message of this call that requires a
             reply; 0 = none of them does. Part of a message requires none: its sender owes the rest.
+        has_more: this call has ended at its limit of messages, and others may be complete.
     """
 
     inside_message = False
     reply_due_after = 0
+    has_more = False
 
     def release(self, received: Buffer, released: int) -> int:
         """Return how many bytes at the front may be forwarded; ``released`` of them were allowed before."""
@@ -110,6 +112,7 @@
         if self.own_message and not self.releasable_from_client and not framer.inside_message:
             self._send_own_message()
         if self.own_message:
+            framer.has_more = False  # nothing is released before it is sent
             return progressed
         releasable = framer.release(self.client.received, self.releasable_from_client)
         self.reply_due_after = framer.reply_due_after or self.reply_due_after
@@ -146,7 +149,10 @@
         return progressed
 
     def forward(self) -> Side | None:
-        """Forward what has arrived; return the side that closed, once all that it sent is forwarded."""
+        """Forward what has arrived; return the side that closed, once all that it sent is forwarded.
+
+        A connection that has more to forward than one turn allows is woken again in the next round.
+        """
         client, endpoint = self.client, self.endpoint
         for _ in range(READS_PER_ROUND):
             progressed = self._forward_to_endpoint()
@@ -155,8 +161,12 @@
                 self.closed_by = self.closed_by or Side.CLIENT
             elif endpoint.eof and not len(endpoint.received):
                 self.closed_by = self.closed_by or Side.ENDPOINT
-            if self.closed_by or not progressed:
+            if self.closed_by:
                 return self.closed_by
+            if self.client_framer.has_more or self.endpoint_framer.has_more:
+                break  # its turn is over: the other connections come first
+            if not progressed:
+                return None
         client.loop.wake(client.owner)
         return None
 
@@ -198,6 +208,7 @@
         forward_deadline = clock() + (deadline - clock()) // 2
         while not self.client.broken and not self.endpoint.eof and clock() < forward_deadline:
             if self._forward_to_client():
+                yield from self.client.loop.yield_turn()  # an endless stream must not block the loop
                 continue
             if not self.endpoint_framer.inside_message and not len(self.endpoint.received):
                 break
@@ -220,7 +231,9 @@
             # The client may have closed only its sending side and still expect the endpoint's bytes.
             other_side.shutdown_write()
             while not self.endpoint.eof and not self.client.broken and clock() < deadline:
-                if not self._forward_to_client():
+                if self._forward_to_client():
+                    yield from self.client.loop.yield_turn()
+                else:
                     yield deadline
             self._forward_to_client()
         self.endpoint.close()
--- a/arrowseam/protocols/edge/messages.py
+++ b/arrowseam/protocols/edge/messages.py
@@ -47,6 +47,9 @@
     MIGRATE: AttemptOutcome.MIGRATED,
 }
 
+# A line that reports a load, and its second word.
+_LOAD_LINE = re.compile(rb"^[^\S\n]*LOAD[^\S\n]+(\S+)", re.MULTILINE)
+
 # Only values that match these patterns are parsed as numbers. int() and float() also accept signs,
 # underscores, nan and more, which endpoints do not, and numbers of any length.
 _OPENING = re.compile(rb"OPEN ([0-9a-fA-F]{1,16}) ([0-9a-fA-F]{1,16}) ([!-~]+)")
@@ -166,12 +169,15 @@
     return words[0] if words else b""
 
 
-def parse_load(line: bytes) -> float | None:
-    """The load in a load report; None if there is none: the line may be one for the client."""
-    try:
-        return float(line.split()[1])
-    except (IndexError, ValueError):
-        return None
+def parse_loads(lines: bytes) -> list[float]:
+    """The loads in the load reports among these lines; lines without one may be for the client."""
+    loads = []
+    for match in _LOAD_LINE.finditer(lines):
+        try:
+            loads.append(float(match[1]))
+        except ValueError:
+            continue
+    return loads
 
 
 def parse_report(line: bytes) -> dict[str, float]:
--- a/arrowseam/protocols/edge/session.py
+++ b/arrowseam/protocols/edge/session.py
@@ -29,7 +29,7 @@
 
 
 class EndpointLineFramer(MessageFramer):
-    """Releases complete lines of an endpoint and parses each line once for load reports and the last word.
+    """Releases complete lines of an endpoint, and notes their load reports and the last line's first word.
 
     Attributes:
         load_reports: loads reported and not consumed yet.
@@ -40,21 +40,18 @@
         self.load_reports: list[float] = []
         self.last_word = b""
 
-    def note_line(self, line: bytes) -> None:
-        """Record the first word of a line, and the load that it reports."""
-        self.last_word = messages.first_word(line)
-        if self.last_word == messages.LOAD:
-            load = messages.parse_load(line)
-            if load is not None:
-                self.load_reports.append(load)
-                del self.load_reports[:-LOAD_REPORTS_MAX]
+    def note_lines(self, lines: bytes) -> None:
+        """Record the loads that complete lines report, and the first word of the last one."""
+        self.last_word = messages.first_word(lines[lines.rfind(b"\n", 0, -1) + 1 :])
+        if messages.LOAD in lines:
+            self.load_reports += messages.parse_loads(lines)
+            del self.load_reports[:-LOAD_REPORTS_MAX]
 
     def release(self, received: Buffer, released: int) -> int:
         """Release complete lines; everything if the buffer is full without one."""
         complete = received.rfind(b"\n") + 1
         if complete > released:
-            for line in received.peek(complete - released, released).split(b"\n")[:-1]:
-                self.note_line(line)
+            self.note_lines(received.peek(complete - released, released))
             self.inside_message = False
             return complete
         if received.is_full:  # longer than a line may be: forwarded as it is
@@ -113,7 +110,7 @@
                 line = endpoint.received.peek(newline + 1)
                 if messages.first_word(line) != messages.LOAD:
                     return (yield from self._handle_answer(endpoint, line))
-                self.framer.note_line(line)
+                self.framer.note_lines(line)
                 endpoint.received.consume(newline + 1)
                 yield from self.loop.yield_turn()  # an endless stream of reports must not block the loop
             elif endpoint.eof or len(endpoint.received) >= messages.LINE_BYTES_MAX:
--- a/arrowseam/protocols/nats/framing.py
+++ b/arrowseam/protocols/nats/framing.py
@@ -9,6 +9,10 @@
 from arrowseam.protocols.nats import messages
 from arrowseam.protocols.nats.messages import NatsProtocolError, Operation
 
+# Parsed in one call: thousands of small operations fit into a buffer, and other clients wait meanwhile.
+OPERATIONS_PER_CALL = 64
+UNANSWERED_PINGS_MAX = 1024  # beyond this, a client's next PING waits for the endpoint's answers
+
 
 class NatsFramer(MessageFramer):
     """Releases complete operations, and operations larger than the buffer in parts.
@@ -28,28 +32,41 @@
 
     def release(self, received: Buffer, released: int) -> int:
         """Release complete operations; those not meant for the other side are removed from the buffer."""
-        self.reply_due_after = 0
+        self.reply_due_after, self.has_more = 0, False
         if self.remaining:
             more = min(self.remaining, len(received) - released)
             self.remaining -= more
             released += more
-        while not self.remaining and not self.error and released < len(received):
-            try:
-                operation = messages.parse_operation(
-                    received, released, self.verbs, self.line_max, self.payload_max
-                )
-            except NatsProtocolError as error:
-                self.error = str(error)
-                break
-            if operation is None:
-                break
-            end = self._release_operation(received, released, operation)
+        for _ in range(OPERATIONS_PER_CALL):
+            end = self._release_next(received, released)
             if end is None:
                 break
             released = end
+        else:
+            self.has_more = released < len(received)
         self.inside_message = self.remaining > 0
         return released
 
+    def _release_next(self, received: Buffer, released: int) -> int | None:
+        """How many bytes are released with the next operation; None if none can be released now."""
+        if self.remaining or self.error or released >= len(received):
+            return None
+        try:
+            operation = messages.parse_operation(
+                received, released, self.verbs, self.line_max, self.payload_max
+            )
+        except NatsProtocolError as error:
+            self.error = str(error)
+            return None
+        if operation is None or self.must_wait(operation):
+            return None
+        return self._release_operation(received, released, operation)
+
+    def must_wait(self, operation: Operation) -> bool:
+        """Whether an operation cannot be released before the other side has sent something."""
+        del operation
+        return False
+
     def _release_operation(self, received: Buffer, released: int, operation: Operation) -> int | None:
         """How many bytes are released with this operation; None if it is not complete."""
         is_complete = released + operation.size <= len(received)
@@ -106,6 +123,10 @@
         """Whether the endpoint must answer: a PING."""
         return operation.verb == b"PING"
 
+    def must_wait(self, operation: Operation) -> bool:
+        """Whether too many PINGs are unanswered for another one."""
+        return operation.verb == b"PING" and len(self.unanswered_pings) >= UNANSWERED_PINGS_MAX
+
 
 class EndpointFramer(NatsFramer):
     """Frames what an endpoint sends.
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -8,6 +8,7 @@
 
 import importlib.util
 import socket
+import statistics
 import sys
 import time
 import tracemalloc
@@ -27,7 +28,10 @@
 from arrowseam.protocols.edge.session import ClientLineFramer, EndpointLineFramer
 from arrowseam.protocols.edge.used_ids import GENERATION_SIZE, UsedIds
 from arrowseam.protocols.nats.framing import (
+    OPERATIONS_PER_CALL,
+    UNANSWERED_PINGS_MAX,
     ClientFramer,
+    EndpointFramer,
 )
 
 SCRIPT = Path(__file__).parent.parent / "benchmarks" / "misbehaving_clients.py"
@@ -128,6 +132,90 @@
     assert forwarder.reply_awaited_since >= looked_at  # it counts from when it could have been read
 
 
+# --- fair turns -----------------------------------------------------------------------------------------
+
+
+def test_a_turn_of_a_connection_ends_after_a_number_of_messages():
+    """One NATS client that sent PINGs at full speed kept the loop busy for half a second at a time: 16 full
+    buffers of 2,700 messages in one turn. The rest must wait for the next round, and must not be forgotten.
+    """
+    loop, ends = EventLoop(), [socket.socketpair(), socket.socketpair()]
+    task = loop.start_task(iter(()), "connection")
+    loop._ready.clear()
+    task.is_queued = False
+    client, endpoint = (Connection(loop, near, task) for near, _ in ends)
+    client.readable = client.writable = endpoint.readable = endpoint.writable = True
+    framer = ClientFramer(1000)
+    forwarder = Forwarder(client, endpoint, framer, EndpointFramer(1000, framer.unanswered_pings))
+    count = 5 * OPERATIONS_PER_CALL
+    ends[0][1].send(b"SUB a 1\r\n" * count)
+    turns, received = 0, b""
+    while len(received) < 9 * count:
+        turns += 1
+        forwarder.forward()
+        received += ends[1][1].recv(1 << 20)
+        assert len(received) <= 9 * OPERATIONS_PER_CALL * turns
+        assert task.is_queued or len(received) == 9 * count
+        task.is_queued = False
+    assert turns == 5
+    client.received.append(b"CONNECT {}\r\n" * count)  # messages that are not forwarded count as well
+    forwarder.forward()
+    assert task.is_queued
+    assert len(client.received) == 12 * 4 * OPERATIONS_PER_CALL
+
+
+def test_pings_that_the_endpoint_does_not_answer_are_bounded():
+    """Each PING forwarded is remembered until its PONG: without a bound, memory grew with an endpoint that
+    reads and does not answer.
+    """
+    framer, received = ClientFramer(1000), Buffer(1 << 20)
+    received.append(b"PING\r\n" * (UNANSWERED_PINGS_MAX + 100))
+    released = 0
+    for _ in range(100):
+        released = framer.release(received, released)
+    assert released == 6 * UNANSWERED_PINGS_MAX
+    assert not framer.has_more  # it waits for the endpoint, not for its next turn
+    framer.unanswered_pings.popleft()
+    assert framer.release(received, released) == released + 6
+
+
+def test_an_endless_stream_does_not_block_the_loop_while_its_connection_is_closed(line_world):
+    """A client closes its sending side while its endpoint goes on sending without end."""
+    w = line_world("up")
+    (client,) = w.up()
+    sending = True
+
+    def send_without_end() -> Iterator[int | None]:
+        while sending:
+            w.servers[0].live[0].write(b"x\r\n" * 1000)
+            yield clock() + 100
+
+    w.loop.start_task(send_without_end(), "stream")
+    client.conn.shutdown_write()
+    w.until(lambda: client.ended_at, 4)
+    sending = False
+    assert w.longest_round_s < 0.3
+
+
+@pytest.mark.parametrize("scenario", ["b-nats-ping", "b-nats-pub", "b-lines-half"])
+def test_sound_clients_are_served_beside_one_that_sends_at_full_speed(scenario):
+    """One client at full speed, or clients that stop inside a line: sound ones got their answers late or
+    never, at all listeners. One connection must not take the others' turns.
+    """
+    many = SCENES.MANY_SERVERS if scenario in SCENES.NEEDS_MANY_SERVERS else 0
+    with SCENES.stage(draining_count=many) as stage:
+        run, listener, *arguments = SCENES.SCENARIOS[scenario]
+        stage.start_child(run, getattr(stage.ports, listener), *arguments)
+        time.sleep(3)
+        results = SCENES.sound_clients(stage.ports, 3)
+        assert stage.is_running
+        for kind, waits in results.items():
+            assert len(waits.served) == len(waits.waits), f"{kind} {waits}"
+            assert statistics.median(waits.served) < LATENCY_OBJECTIVE_S, f"{kind} {waits}"
+        assert stage.log_count(SCENES.UNANSWERED) == 0
+        assert stage.memory_mb() < SCENES.MEMORY_LIMIT_MB
+
+
 # --- memory ---------------------------------------------------------------------------------------------
 
 
