One caller of control a round gets rows, and control has 16 callers at most

What callers saw: one caller that connected to control, sent `members` and left, at full speed, kept clients of both fronts from being served, with 10,000 servers in a watched file. Other callers of control got no answer, /healthz answered after 1.4 s.

Cause: each caller encoded 250 rows, some 3 ms, in each of its turns, all callers had one in every round and come before all clients, and 64 new ones were accepted a round. Only callers without a complete line were bounded. Evidence: a profile (four fifths of the time in encoding rows, two batches or more a round).

Change: one caller a round encodes its next 100 rows. At most 16 callers in any phase; beyond that one is closed, by how much it still needs its connection.

--- a/arrowseam/control/server.py
+++ b/arrowseam/control/server.py
@@ -23,6 +23,7 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import islice
 from typing import Any
@@ -33,21 +34,22 @@
 from arrowseam.net.clock import SECOND, clock
 from arrowseam.net.connection import Connection
 from arrowseam.net.event_loop import EventLoop
-from arrowseam.net.task import Coroutine
+from arrowseam.net.task import Coroutine, Task
 from arrowseam.request_handling.requests import RequestHandler
 
 LINE_BYTES_MAX = 512
-CALLERS_MAX = 16  # beyond this, the one that has waited longest without sending its line is closed
+CALLERS_MAX = 16  # beyond this, one of them is closed: see ``Control._close_one``
 RESERVED_DESCRIPTORS = CALLERS_MAX + 8  # reserved: clients cannot use them
 REQUEST_TIMEOUT = 5 * SECOND  # for a caller to send its line
 ANSWER_TIMEOUT = SECOND
-ROWS_PER_ROUND = 250  # written per round of the event loop; there may be 10,000 rows
+ROWS_PER_ROUND = 100  # encoded per round of the event loop; there may be 10,000 rows
 BUNDLE_BYTES_MAX = 64 << 10
 ROLLOUT_COMMANDS = ("agree", "drain", "undrain", "release")
 
 ACK = b"ACK\n"
 UNKNOWN_COMMAND = b"NAK unknown call\n"
 LAST_LINE = b"--\n"
+_ROW_ENCODER = json.JSONEncoder(separators=(",", ":"))
 
 
 class Control:
@@ -56,7 +58,8 @@
     Attributes:
         endpoint_sources, membership, rollouts: None if they are not configured.
         on_cordon_change: called after each cordon and uncordon command, if set.
-        waiting: callers that have not sent a complete line, oldest first.
+        callers: all callers, oldest first.
+        waiting: those that have not sent a complete line.
     """
 
     def __init__(
@@ -68,7 +71,9 @@
         self.membership: Membership | None = None
         self.rollouts: Rollouts | None = None
         self.on_cordon_change: Callable[[str, bool], None] | None = None
-        self.waiting: dict[Connection, None] = {}
+        self.callers: dict[Connection, None] = {}
+        self.waiting: set[Connection] = set()
+        self._row_queue: deque[Task | None] = deque()  # tasks that want to send rows, the next one first
         self._commands: dict[tuple[str, int], Callable[..., bytes]] = {
             ("health", 0): self._health,
             ("counters", 0): self._counters,
@@ -89,15 +94,17 @@
     def serve(self, conn: Connection) -> Coroutine[None]:
         """Read the command of one caller and answer it."""
         conn.received.limit = LINE_BYTES_MAX
-        if len(self.waiting) >= CALLERS_MAX:
-            self._close_oldest()
-        self.waiting[conn] = None
+        if len(self.callers) >= CALLERS_MAX:
+            self._close_one()
+        self.callers[conn] = None
         try:
             line = yield from self._read_line(conn)
+            if line is not None:  # a truncated line is not run: part of an id may be another endpoint's id
+                yield from self._serve_command(conn, line)
         finally:
-            self.waiting.pop(conn, None)
-        if line is None:
-            return  # a truncated line: part of an id may be the id of another endpoint
+            self.callers.pop(conn, None)
+
+    def _serve_command(self, conn: Connection, line: bytes) -> Coroutine[None]:
         words = line.decode("ascii", "replace").split()
         rows = self._rows(words)
         if rows is not None:
@@ -111,14 +118,30 @@
         yield from conn.send(answer, deadline)
         yield from conn.close_gracefully(deadline)
 
-    def _close_oldest(self) -> None:
-        oldest = next(iter(self.waiting))
-        del self.waiting[oldest]
-        oldest.close()
-        self.loop.wake(oldest.owner)
+    def _close_one(self) -> None:
+        """Close the oldest caller: if possible one without its line, or one that is answered or has left.
+
+        Guards against callers that come faster than they can be answered, and would take the descriptors of
+        clients.
+        """
+        conn = min(self.callers, key=self._claim)  # the oldest of equal ones
+        del self.callers[conn]
+        conn.close()
+        self.loop.wake(conn.owner)
+
+    def _claim(self, conn: Connection) -> int:
+        """How much a caller still needs its connection."""
+        if conn in self.waiting:
+            return 0
+        is_answered = self.loop.expendable.get(conn) == b""
+        return 1 if is_answered else 2 if conn.hung_up else 3
 
     def _read_line(self, conn: Connection) -> Coroutine[bytes | None]:
-        line = yield from conn.read_line(LINE_BYTES_MAX, clock() + REQUEST_TIMEOUT)
+        self.waiting.add(conn)
+        try:
+            line = yield from conn.read_line(LINE_BYTES_MAX, clock() + REQUEST_TIMEOUT)
+        finally:
+            self.waiting.discard(conn)
         if line is None:
             return b"" if conn.received.is_full else None  # too long: answered as an unknown command
         return line.removesuffix(b"\n")
@@ -137,14 +160,31 @@
 
     def _send_rows(self, conn: Connection, rows: Iterator[dict[str, Any]]) -> Coroutine[None]:
         deadline = clock() + ANSWER_TIMEOUT
-        while batch := list(islice(rows, ROWS_PER_ROUND)):
+        while batch := (yield from self._encode_rows(conn, rows)):
             deadline = clock() + ANSWER_TIMEOUT
-            if not (yield from conn.send(b"".join(map(encode_row, batch)), deadline)):
+            if not (yield from conn.send(batch, deadline)):
                 return
             yield from self.loop.yield_turn()
         yield from conn.send(LAST_LINE, deadline)
         yield from conn.close_gracefully(deadline)
 
+    def _encode_rows(self, conn: Connection, rows: Iterator[dict[str, Any]]) -> Coroutine[bytes]:
+        """Return the next rows of an answer; empty at its end. One caller a round gets some."""
+        task = conn.owner
+        self._row_queue.append(task)
+        try:
+            while self._row_queue[0] is not task and not conn.closed:
+                yield None
+            if conn.closed:
+                return b""
+            batch = b"".join(map(encode_row, islice(rows, ROWS_PER_ROUND)))
+            yield from self.loop.yield_turn()  # the next caller's turn is in the next round
+            return batch
+        finally:
+            self._row_queue.remove(task)
+            if self._row_queue:
+                self.loop.wake(self._row_queue[0])
+
     def _run_rollout_command(
         self, rollouts: Rollouts, conn: Connection, words: list[str]
     ) -> Coroutine[bytes]:
@@ -229,4 +269,4 @@
 
 def encode_row(row: dict[str, Any]) -> bytes:
     """Encode a row as one line with a JSON object."""
-    return json.dumps(row, separators=(",", ":")).encode() + b"\n"
+    return _ROW_ENCODER.encode(row).encode() + b"\n"
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -197,7 +197,7 @@
     assert w.longest_round_s < 0.3
 
 
-@pytest.mark.parametrize("scenario", ["b-nats-ping", "b-nats-pub", "b-lines-half"])
+@pytest.mark.parametrize("scenario", ["b-nats-ping", "b-nats-pub", "b-lines-half", "b-control-rows"])
 def test_sound_clients_are_served_beside_one_that_sends_at_full_speed(scenario):
     """One client at full speed, or clients that stop inside a line: sound ones got their answers late or
     never, at all listeners. One connection must not take the others' turns.
@@ -216,6 +216,19 @@
         assert stage.memory_mb() < SCENES.MEMORY_LIMIT_MB
 
 
+def test_control_has_a_bounded_number_of_callers_and_prefers_those_who_still_wait():
+    """Callers who sent a command and left took all of control's time and the clients' descriptors."""
+    w = ProxyNetwork("lines", "up")
+    control = w.proxy.control
+    callers = [w.call(b"health\n" if n % 2 else b"cordon s") for n in range(60)]
+    w.run(0.05)
+    assert len(control.callers) <= 16
+    assert w.control(b"health\n").startswith(b"ACK")
+    w.until(lambda: sum(answer() == b"ACK\n" for answer in callers) == 30)  # nobody lost an answer
+    assert not w.driver.cordoned
+    w.close()
+
+
 # --- memory ---------------------------------------------------------------------------------------------
 
 
