A NATS client sent away for its own fault is not counted against its server

What callers saw: one client whose server ended its connection with -ERR 'Invalid Subject', again and again at full speed, made sound clients of both fronts wait up to 765 ms in place of 20.

Cause: the end of a connection by its endpoint counted as a reset by it, with full weight in the first 2 s, also where the endpoint had just said that the client is at fault.

Change: if the last error that the endpoint sent names a fault of the client (the texts of the NATS protocol), the end counts as the client's. Errors of the server ('Server Shutdown', 'Maximum Connections Exceeded') count as before.

--- a/arrowseam/protocols/nats/framing.py
+++ b/arrowseam/protocols/nats/framing.py
@@ -135,6 +135,7 @@
 
     Attributes:
         is_draining: the endpoint has announced lame duck mode.
+        blames_client: the last error that the endpoint has sent is the fault of its client.
     """
 
     verbs = messages.ENDPOINT_VERBS
@@ -144,6 +145,7 @@
         super().__init__(payload_max)
         self.unanswered_pings = unanswered_pings
         self.is_draining = False
+        self.blames_client = False
 
     def on_operation(self, operation: Operation) -> bool:
         """Forward all but INFO and the answers to the proxy's own PINGs."""
@@ -152,6 +154,8 @@
         if operation.verb == b"INFO":
             self._note_info(operation)
             return False
+        if operation.verb == b"-ERR":
+            self.blames_client = messages.is_client_fault(operation.arguments)
         return True
 
     def _note_info(self, operation: Operation) -> None:
--- a/arrowseam/protocols/nats/messages.py
+++ b/arrowseam/protocols/nats/messages.py
@@ -32,6 +32,22 @@
 PONG_LINE = b"PONG\r\n"
 OK_LINE = b"+OK\r\n"
 PARSER_ERROR = "Parser Error"
+# How the texts of errors begin, in lower case, by which an endpoint says that its client is at fault.
+CLIENT_FAULTS = (
+    b"unknown protocol operation",
+    b"parser error",
+    b"authorization violation",
+    b"authentication",
+    b"user authentication",
+    b"invalid client protocol",
+    b"maximum control line exceeded",
+    b"maximum payload violation",
+    b"invalid subject",
+    b"permissions violation",
+    b"secure connection",
+    b"slow consumer",
+    b"stale connection",
+)
 
 
 class NatsProtocolError(ArrowseamError):
@@ -110,6 +126,11 @@
     return "Maximum Connections Exceeded" + retry_after
 
 
+def is_client_fault(error_arguments: bytes) -> bool:
+    """Whether the error that an endpoint has sent is the fault of its client."""
+    return error_arguments.strip(b" '").lower().startswith(CLIENT_FAULTS)
+
+
 def error_line(text: str) -> bytes:
     """The ``-ERR`` line of an error."""
     return f"-ERR '{text}'\r\n".encode()
--- a/arrowseam/protocols/nats/session.py
+++ b/arrowseam/protocols/nats/session.py
@@ -150,7 +150,9 @@
         if closed_by is Side.CLIENT:
             return AttemptOutcome.CLIENT_DISCONNECTED
         if closed_by is Side.ENDPOINT:
-            return AttemptOutcome.RESET
+            # A client that an endpoint sends away for its own fault says nothing about the endpoint.
+            by_client = endpoint_framer.blames_client
+            return AttemptOutcome.CLIENT_DISCONNECTED if by_client else AttemptOutcome.RESET
         if endpoint_framer.is_draining:
             return AttemptOutcome.MIGRATED
         if endpoint_framer.error:
--- a/benchmarks/misbehaving_clients.py
+++ b/benchmarks/misbehaving_clients.py
@@ -39,6 +39,7 @@
 SERVER_COUNT = 4
 DEADLINE_MS = 1800
 DRAINING = "Terminating"
+POISON = b"x=poison"  # in an opening that the servers answer with an error
 CLASS = {"name": "tech", "aim": 300000, "deadline": DEADLINE_MS * 1000, "effect": "retryable"}
 SETTINGS: dict[str, Any] = {
     "balancers": 1,
@@ -79,13 +80,13 @@
 
 
 async def _serve_lines(record: Path, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Accept every opening, then echo whole lines."""
+    """Accept every opening that is not marked as poison, then echo whole lines."""
     with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
         words = (await reader.readline()).split()
         if len(words) > 1 and words[0] == b"OPEN":
             with record.open("ab") as file:
                 file.write(words[1] + b"\n")
-            writer.write(b"UP r-%s\r\n" % words[1])
+            writer.write(b"ERR\r\n" if POISON in words[-1] else b"UP r-%s\r\n" % words[1])
         while line := await reader.readline():
             writer.write(line)
             await writer.drain()
@@ -93,7 +94,7 @@
 
 
 async def _serve_nats(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer each PING; payloads are read and dropped."""
+    """Answer each PING; payloads are read and dropped. A wrong subject ends the connection with an error."""
     with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
         writer.write(b'INFO {"server_id":"s","max_payload":1048576}\r\n')
         while line := await reader.readline():
@@ -102,6 +103,9 @@
             elif line.startswith(b"PING"):
                 writer.write(b"PONG\r\n")
                 await writer.drain()
+            elif line.startswith(b"SUB .."):
+                writer.write(b"-ERR 'Invalid Subject'\r\n")
+                break
     writer.close()
 
 
@@ -411,6 +415,22 @@
                                 raise ConnectionResetError
 
 
+def churn_after_greeting(port: int, greet: bytes, message: bytes) -> None:
+    """Connect, send a message once the connection is established, read until it ends, again and again."""
+    while True:
+        sock = connect(port)
+        if sock is not None:
+            with sock, contextlib.suppress(OSError):
+                sock.settimeout(ANSWER_WAIT_S)
+                sock.sendall(greet)
+                received = sock.recv(4096)
+                while b"PONG" not in received:
+                    received = sock.recv(4096)
+                sock.sendall(message)
+                while sock.recv(4096):
+                    pass
+
+
 def churn(port: int, request: Callable[[int], bytes], waits_for_answer: bool = True) -> None:
     """Connect, send one request and leave, again and again at full speed."""
     number = os.getpid() * 0x100000
@@ -459,6 +479,10 @@
     return opening(number, SHORT_FIELDS)
 
 
+def open_poisoned(number: int) -> bytes:
+    return opening(number, b"," + POISON)
+
+
 def always(request: bytes) -> Callable[[int], bytes]:
     return lambda _number: request
 
@@ -490,8 +514,10 @@
     "b-lines-bad": (churn, "lines", numbered(b"OPEN x%x y\r\n")),
     "b-lines-ping": (flood, "lines", b"PING\r\n", many_lines(b"PING\r\n")),
     "b-lines-ids": (churn, "lines", opening),
+    "b-lines-poison": (churn, "lines", open_poisoned),
     "b-lines-leave": (churn, "lines", opening, False),
     "b-nats-leave": (churn, "nats", greet_nats, False),
+    "b-nats-wrong-subject": (churn_after_greeting, "nats", NATS_GREETING, b"SUB .. 1\r\n"),
     "b-nats-names": (churn, "nats", numbered(b'CONNECT {"user":"u%x"}\r\nPING\r\n')),
     "b-healthz-leave": (churn, "health", always(HEALTH_REQUEST), False),
     "b-control": (churn, "control", always(b"counters\n")),
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -62,6 +62,11 @@
     yield from create_networks("lines")
 
 
+@pytest.fixture
+def nats_world() -> Iterator[Callable[..., ProxyNetwork]]:
+    yield from create_networks("nats")
+
+
 # --- what is blamed on an endpoint ----------------------------------------------------------------------
 
 
@@ -132,6 +137,22 @@
     assert forwarder.reply_awaited_since >= looked_at  # it counts from when it could have been read
 
 
+@pytest.mark.parametrize(
+    ("error", "is_blamed"),
+    [(b"Invalid Subject", False), (b"Slow Consumer", False), (b"Server Shutdown", True)],
+)
+def test_a_client_sent_away_for_its_own_fault_is_not_blamed_on_its_endpoint(nats_world, error, is_blamed):
+    """One NATS client whose connections were ended one after another raised the scores of all servers."""
+    w = nats_world("up")
+    w.up()
+    (conn,) = w.servers[0].live
+    conn.write(b"-ERR '%s'\r\n" % error)
+    conn.close()
+    w.until(lambda: not w.handler.active)
+    (endpoint,) = w.driver.balancer.endpoints.by_id.values()
+    assert (endpoint.failure_score > 0) == is_blamed
+
+
 # --- fair turns -----------------------------------------------------------------------------------------
 
 
