A connection that is closed here ends its task at once

Behind it an older fault: a task that waits for input does not notice that its own side was closed. It stayed until its input was due (control 5 s, fronts 2 s), with its buffer.

Change: Connection.close sets eof, which every reader looks at; control takes a closed caller out of its lists at once.

The test of the bound counts tasks now.

--- a/arrowseam/control/server.py
+++ b/arrowseam/control/server.py
@@ -126,6 +126,7 @@
         """
         conn = min(self.callers, key=self._claim)  # the oldest of equal ones
         del self.callers[conn]
+        self.waiting.discard(conn)
         conn.close()
         self.loop.wake(conn.owner)
 
--- a/arrowseam/net/connection.py
+++ b/arrowseam/net/connection.py
@@ -33,7 +33,7 @@
         received: bytes read and not consumed yet.
         owner: the task that is woken when something happens here.
         readable, writable: a read or write may succeed; edge-triggered, so true until one would block.
-        eof: nothing more will be read: the peer closed its side, or the connection broke.
+        eof: nothing more will be read: the peer closed its side, the connection broke, or it is closed here.
         broken: an error occurred; nothing more can be written.
         hung_up: epoll reported that the peer closed its side or that the connection broke.
         closed: closed by this process.
@@ -199,7 +199,7 @@
         """Close at once; with ``reset`` the peer gets a connection reset."""
         if self.closed:
             return
-        self.closed = True
+        self.closed = self.eof = True
         self.loop.expendable.pop(self, None)
         if reset:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/benchmarks/misbehaving_clients.py
+++ b/benchmarks/misbehaving_clients.py
@@ -25,6 +25,7 @@
 import sys
 import tempfile
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from multiprocessing.process import BaseProcess
@@ -347,6 +348,19 @@
         return None
 
 
+def connect_without_end(port: int, count: int, data: bytes) -> None:
+    """Connect again and again at full speed, sending each time the same; the last connections stay open."""
+    sockets: deque[socket.socket] = deque()
+    while True:
+        sock = connect(port)
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.send(data)
+            sockets.append(sock)
+        if len(sockets) > count:
+            sockets.popleft().close()
+
+
 def send_in_pieces(sockets: list[socket.socket], data: bytes, piece: int, pause: float) -> None:
     """Send the same bytes on all connections, a piece at a time."""
     for start in range(0, len(data), piece):
@@ -496,6 +510,10 @@
     "nothing": (),
     "a-lines-fields": (open_and_hold, "lines", 470, open_with_short_fields, b""),
     "a-lines-pieces": (hold, "lines", 900, opening(7, SHORT_FIELDS)[:-2], PIECE_BYTES),
+    "a-lines-mute": (connect_without_end, "lines", 900, opening(7, SHORT_FIELDS)[:-2]),
+    "a-nats-mute": (connect_without_end, "nats", 900, NATS_SHORT_FIELDS[:3000]),
+    "a-control-mute": (connect_without_end, "control", 900, b"cordon s"),
+    "a-healthz-mute": (connect_without_end, "health", 900, SHORT_HEADERS[:8000]),
     "a-nats-fields": (open_and_hold, "nats", 470, greet_nats_short_fields, b""),
     "a-nats-half": (open_and_hold, "nats", 470, greet_nats, b"PUB a 1000000\r\n" + b"x" * 500_000),
     "a-nats-nested": (open_and_hold, "nats", 400, greet_nats_nested, b""),
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -244,6 +244,9 @@
     callers = [w.call(b"health\n" if n % 2 else b"cordon s") for n in range(60)]
     w.run(0.05)
     assert len(control.callers) <= 16
+    assert len(control.waiting) <= 16
+    listener = next(listener for listener in w.loop.listeners if listener.name == "control")
+    assert listener.active <= 17  # the others are not only closed: their tasks have ended
     assert w.control(b"health\n").startswith(b"ACK")
     w.until(lambda: sum(answer() == b"ACK\n" for answer in callers) == 30)  # nobody lost an answer
     assert not w.driver.cordoned
